Design, API types, core interfaces and micro-kernel

Cause: an empty repository; every later part needs the decisions and the shared types. Change: docs/design.md weighs the main decisions, docs/api.md fixes the routes and settings, the api module has the value types, error kinds and ticket types, core has the interfaces between dispatch, queue and routing, and the kernel starts, finds and stops services.

--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration objects and change tickets. */
+package org.banyanspoke.api.config;
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/errors/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the checked exceptions. */
+package org.banyanspoke.api.errors;
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/ids/JobId.java
@@ -0,0 +1,51 @@
+package org.banyanspoke.api.ids;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Identifies a job and names the process that owns it. Only that process ever starts the job's tasks.
+ *
+ * <p>Text form: {@code host~ip:port~incarnation~generation~sequence~mac}, all but the host and the address in
+ * hexadecimal. It is safe in a URL path.
+ *
+ * @param host the owner
+ * @param peerAddress the owner's peer address, {@code ip:port}
+ * @param incarnation the owner's process start
+ * @param generation the owner's generation at the time of issue
+ * @param sequence unique within the incarnation
+ * @param mac keyed hash of the other fields and the team, made by the owner
+ */
+public record JobId(HostId host, String peerAddress, Incarnation incarnation, int generation, long sequence, long mac) {
+    private static final Pattern TEXT = Pattern.compile(
+            "([A-Za-z0-9._-]{1,63})~([0-9.]{7,15}:[0-9]{1,5})~([0-9a-f]{16})~([0-9a-f]{1,7})~([0-9a-f]{1,15})~([0-9a-f]{16})");
+
+    /**
+     * Parses the text form.
+     *
+     * @throws IllegalArgumentException if the text is not a job id
+     */
+    @JsonCreator
+    public static JobId parse(String text) {
+        Matcher matcher = TEXT.matcher(text == null ? "" : text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException("\"" + text + "\" is not a job id");
+        }
+        return new JobId(
+                new HostId(matcher.group(1)),
+                matcher.group(2),
+                Incarnation.parse(matcher.group(3)),
+                Integer.parseInt(matcher.group(4), 16),
+                Long.parseLong(matcher.group(5), 16),
+                Long.parseUnsignedLong(matcher.group(6), 16));
+    }
+
+    @JsonValue
+    @Override
+    public String toString() {
+        return host + "~" + peerAddress + "~" + incarnation + "~" + Integer.toHexString(generation) + "~"
+                + Long.toHexString(sequence) + "~" + String.format("%016x", mac);
+    }
+}
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/ids/TeamId.java
@@ -0,0 +1,29 @@
+package org.banyanspoke.api.ids;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a team, the owner of batches and of a quota.
+ *
+ * @param value a name of 1 to 63 characters, see {@link Names}
+ */
+public record TeamId(@JsonValue String value) implements Comparable<TeamId> {
+    /**
+     * @throws IllegalArgumentException if the value is not a valid name
+     */
+    @JsonCreator
+    public TeamId {
+        Names.check("team id", value);
+    }
+
+    @Override
+    public int compareTo(TeamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/ids/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.banyanspoke.api.ids;
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/job/package-info.java
@@ -0,0 +1,2 @@
+/** Submissions and their answers. */
+package org.banyanspoke.api.job;
--- /dev/null
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON mapping. */
+package org.banyanspoke.api.json;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Refusal of work before it is queued. */
+package org.banyanspoke.core.admission;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Accepted configuration, tickets and the log position. */
+package org.banyanspoke.core.config;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** The dispatcher of one entry host. */
+package org.banyanspoke.core.dispatch;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Job ids, the register of used ids and its archive. */
+package org.banyanspoke.core.identity;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/job/package-info.java
@@ -0,0 +1,2 @@
+/** State of one job. */
+package org.banyanspoke.core.job;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Liveness of entry hosts and gossip. */
+package org.banyanspoke.core.membership;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Team quotas over all entry hosts. */
+package org.banyanspoke.core.quota;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a backend server. */
+package org.banyanspoke.core.routing;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/package-info.java
@@ -0,0 +1,2 @@
+/** Order of waiting tasks. */
+package org.banyanspoke.core.schedule;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time sources that are passed in. */
+package org.banyanspoke.core.time;
