--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Log output: JSON lines on standard error. */
+package org.banyanspoke.daemon.logging;
--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/settings/SettingsReaderTest.java
@@ -0,0 +1,81 @@
+package org.banyanspoke.daemon.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SettingsReaderTest {
+    private static final String VALID = """
+            {
+              // An entry host on loopback.
+              "host": {"id": "h1", "zone": "z1", "region": "r1"},
+              "callers": {"address": "127.0.0.1:8080"},
+              "admin": {"address": "127.0.0.1:8081", "operatorTokensSha256": {"alice": "%s"}},
+              "peer": {"address": "127.0.0.1:8082", "seeds": ["127.0.0.1:8092"]},
+              "log": {"address": "127.0.0.1:9000"},
+              "hostList": {"address": "127.0.0.1:9001"}
+            }
+            """.formatted("ab".repeat(32));
+
+    private final SettingsReader reader = new SettingsReader();
+
+    @Nested
+    class Valid {
+        /** Guards against a documented field that the reader does not know, and against wrong defaults. */
+        @Test
+        void takesDefaultsForOptionalFields() throws Exception {
+            Settings settings = reader.parse(VALID);
+            assertThat(settings.callers().maxBodyBytes()).isEqualTo(33_554_432);
+            assertThat(settings.drainNoticeMillis()).isEqualTo(2_000);
+            assertThat(settings.policy()).isEqualTo(Settings.Policy.ADAPTIVE);
+            assertThat(settings.peer().seeds()).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Faulty {
+        /** Guards against a report that stops at the first fault and costs an operator one start for each. */
+        @Test
+        void reportsEveryFaultAtOnce() {
+            Approvals.verify(messageFor("""
+                    {
+                      "host": {"id": "h 1", "zone": 7, "color": "red"},
+                      "callers": {"address": "localhost:8080", "maxBodyBytes": 10, "bodyTimeoutMillis": "soon"},
+                      "admin": {"address": "127.0.0.1:8082", "operatorTokensSha256": {"alice": "secret"}},
+                      "peer": {"address": "127.0.0.1:8082", "seeds": ["127.0.0.1:8092", "[::1]:1", 5]},
+                      "log": "127.0.0.1:9000",
+                      "drain": {"noticeMillis": -1},
+                      "policy": {"name": "best"},
+                      "logging": {"level": "LOUD"},
+                      "extra": true
+                    }
+                    """));
+        }
+
+        /** Guards against a stack trace in place of a report for a file that is not JSON. */
+        @Test
+        void reportsBrokenJsonWithItsLine() {
+            assertThat(messageFor("{\n\"host\": {,}\n}")).contains("(whole file)", "line 2");
+        }
+
+        /** Guards against a repeated key of which only the last one counts. */
+        @Test
+        void reportsARepeatedKey() {
+            assertThat(messageFor("{\"host\": {}, \"host\": {}}")).contains("Duplicate field 'host'");
+        }
+
+        /** Guards against a list or a number being read as empty settings. */
+        @Test
+        void reportsAFileThatIsNotAnObject() {
+            assertThat(messageFor("[]")).contains("(whole file): found [], allowed: an object");
+        }
+
+        private String messageFor(String text) {
+            return catchThrowableOfType(SettingsException.class, () -> reader.parse(text))
+                    .getMessage();
+        }
+    }
+}
