--- /dev/null
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each subcommand. */
+package org.banyanspoke.cli.commands;
--- /dev/null
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool. */
+package org.banyanspoke.cli;
