--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/BackendClient.java
@@ -0,0 +1,115 @@
+package org.banyanspoke.daemon.backend;
+
+import com.google.common.net.HostAndPort;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.AttemptResult.Outcome;
+import org.banyanspoke.core.dispatch.TaskAttempt;
+import org.banyanspoke.core.dispatch.TaskTransport;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/**
+ * Sends tasks to backend servers over HTTP/1.1. Connections are opened by this class and not by the pool of Vert.x, which
+ * would choose and reuse connections by its own rules. Not thread safe: every method runs on the dispatch thread.
+ */
+public final class BackendClient implements TaskTransport {
+    private final Context dispatchThread;
+    private final MonotonicClock clock;
+    private final HttpClientAgent client;
+    private final Map<ServerId, Target> targets = new HashMap<>();
+    /** Servers that left the configuration while attempts were in progress. */
+    private final List<ServerConnections> retired = new ArrayList<>();
+
+    private record Target(String address, ServerConnections connections) {}
+
+    /**
+     * @param vertx runs the connections
+     * @param dispatchThread event loop on which every method is called
+     * @param clock for leases and timeouts
+     */
+    public BackendClient(Vertx vertx, Context dispatchThread, MonotonicClock clock) {
+        this.dispatchThread = dispatchThread;
+        this.clock = clock;
+        HttpClientOptions options = new HttpClientOptions()
+                .setKeepAlive(true)
+                .setPipelining(false)
+                .setKeepAliveTimeout(0)
+                .setTcpNoDelay(true);
+        this.client = vertx.createHttpClient(options);
+    }
+
+    /** Takes over the addresses of the backend servers. Attempts in progress are left alone. */
+    public void configure(ConfigState config) {
+        for (BackendServerConfig server : config.servers().values()) {
+            Target present = targets.get(server.id());
+            if (present == null || !present.address().equals(server.address())) {
+                retire(present);
+                targets.put(server.id(), open(server));
+            }
+        }
+        for (Iterator<Map.Entry<ServerId, Target>> it = targets.entrySet().iterator(); it.hasNext(); ) {
+            Map.Entry<ServerId, Target> entry = it.next();
+            if (!config.servers().containsKey(entry.getKey())) {
+                retire(entry.getValue());
+                it.remove();
+            }
+        }
+    }
+
+    @Override
+    public void start(TaskAttempt attempt, Consumer<AttemptResult> onEnd) {
+        Attempt started = new Attempt(attempt, clock.nanos(), onEnd);
+        Target target = targets.get(attempt.server());
+        if (target == null) {
+            dispatchThread.runOnContext(
+                    unused -> started.end(Outcome.NOT_SENT, "the server is not configured", clock.nanos()));
+            return;
+        }
+        target.connections().start(started);
+    }
+
+    @Override
+    public void stop(TaskAttempt attempt) {
+        Target target = targets.get(attempt.server());
+        if (target != null) {
+            target.connections().stop(attempt.attemptId());
+        }
+    }
+
+    /** Ends overdue attempts. Called every 10 ms. */
+    public void tick() {
+        targets.values().forEach(target -> target.connections().tick());
+        retired.forEach(ServerConnections::tick);
+        retired.removeIf(ServerConnections::isIdle);
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        targets.values().forEach(target -> target.connections().close());
+        retired.forEach(ServerConnections::close);
+    }
+
+    private Target open(BackendServerConfig server) {
+        HostAndPort address = HostAndPort.fromString(server.address());
+        return new Target(server.address(), new ServerConnections(server.id(), address, client, dispatchThread, clock));
+    }
+
+    private void retire(Target target) {
+        if (target != null) {
+            target.connections().retire();
+            retired.add(target.connections());
+        }
+    }
+}
