--- /dev/null
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/history/package-info.java
@@ -0,0 +1,2 @@
+/** Histories of concurrent runs and the rules that decide whether a history is allowed. */
+package org.banyanspoke.scenarios.history;
--- /dev/null
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/package-info.java
@@ -0,0 +1,2 @@
+/** Scripted scenarios against real processes. */
+package org.banyanspoke.scenarios;
