--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
@@ -0,0 +1,122 @@
+package org.banyanspoke.daemon.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.ext.web.RoutingContext;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.RefusedException;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.JobState;
+import org.banyanspoke.daemon.jobs.JobBody;
+import org.banyanspoke.daemon.jobs.LocalJobs;
+
+/** The routes of the callers' port. */
+final class CallerRoutes {
+    private static final int MAX_IDS = 1_000;
+    private static final long MAX_WAIT_MILLIS = 30_000;
+    private static final String TEAM_KEY = "authenticatedTeam";
+    private static final String JOBS = "/v1/teams/:team/jobs";
+    private static final String JOB = JOBS + "/:jobId";
+    private static final RouteTable.Guard OPEN = context -> {};
+
+    private final TeamAuthenticator authenticator;
+    private final LocalJobs jobs;
+    private final WorkGate gate;
+    private final BooleanSupplier ready;
+
+    /**
+     * @param jobs jobs of this host and, by forwarding, of others
+     * @param gate checked before new work
+     * @param ready what the readiness route reports
+     */
+    CallerRoutes(TeamAuthenticator authenticator, LocalJobs jobs, WorkGate gate, BooleanSupplier ready) {
+        this.authenticator = authenticator;
+        this.jobs = jobs;
+        this.gate = gate;
+        this.ready = ready;
+    }
+
+    private record ReserveRequest(Integer count) {}
+
+    private record ReserveAnswer(List<JobId> jobIds) {}
+
+    private record Health(String status) {}
+
+    void addTo(RouteTable routes) {
+        routes.add(HttpMethod.GET, "/health/live", OPEN, call -> health(true));
+        routes.add(HttpMethod.GET, "/health/ready", OPEN, call -> health(ready.getAsBoolean()));
+        routes.add(HttpMethod.POST, "/v1/teams/:team/job-ids", this::authenticate, this::reserve);
+        routes.add(HttpMethod.POST, JOBS, this::authenticate, this::submitNew);
+        routes.add(HttpMethod.PUT, JOB, this::authenticate, this::submit);
+        routes.add(HttpMethod.GET, JOB, this::authenticate, this::status);
+        routes.add(HttpMethod.DELETE, JOB, this::authenticate, this::cancel);
+    }
+
+    private void authenticate(RoutingContext context) throws RefusedException {
+        context.put(TEAM_KEY, authenticator.authenticate(context.request(), context.pathParam("team")));
+    }
+
+    private static Future<HttpAnswer> health(boolean good) {
+        int status = good ? HttpAnswer.OK : HttpAnswer.SERVICE_UNAVAILABLE;
+        return Future.succeededFuture(HttpAnswer.of(status, new Health(good ? "ok" : "not ready")));
+    }
+
+    private Future<HttpAnswer> reserve(HttpCall call) throws DispatchException {
+        gate.check();
+        Integer count = JobBody.parse(call.body(), ReserveRequest.class).count();
+        if (count == null || count < 1 || count > MAX_IDS) {
+            throw new DispatchException(
+                    ErrorKind.MALFORMED_REQUEST, "field count is " + count + ", allowed are 1 to " + MAX_IDS);
+        }
+        return jobs.reserve(team(call), count).map(ids -> HttpAnswer.of(HttpAnswer.CREATED, new ReserveAnswer(ids)));
+    }
+
+    private Future<HttpAnswer> submitNew(HttpCall call) throws DispatchException {
+        gate.check();
+        JobBody body = JobBody.parse(call.body());
+        return jobs.submitNew(team(call), body, call.flag("wait", true)).map(CallerRoutes::submitted);
+    }
+
+    /** The gate is not checked here: a resubmission is answered while the host drains; the dispatcher refuses new work. */
+    private Future<HttpAnswer> submit(HttpCall call) throws DispatchException {
+        JobId jobId = jobId(call);
+        JobBody body = JobBody.parse(call.body());
+        return jobs.submit(team(call), jobId, body, call.flag("wait", true)).map(CallerRoutes::submitted);
+    }
+
+    private Future<HttpAnswer> status(HttpCall call) throws DispatchException {
+        long waitMillis = call.integer("waitMillis", 0, 0, MAX_WAIT_MILLIS);
+        return jobs.status(team(call), jobId(call), waitMillis).map(answer -> answer(HttpAnswer.OK, answer));
+    }
+
+    private Future<HttpAnswer> cancel(HttpCall call) throws DispatchException {
+        return jobs.cancel(team(call), jobId(call)).map(answer -> HttpAnswer.of(HttpAnswer.OK, answer));
+    }
+
+    private static HttpAnswer submitted(JobAnswer answer) {
+        return answer(answer.state() == JobState.RUNNING ? HttpAnswer.ACCEPTED : HttpAnswer.OK, answer);
+    }
+
+    private static HttpAnswer answer(int status, JobAnswer answer) {
+        int actual = answer.state() == JobState.FAILED ? answer.error().kind().httpStatus() : status;
+        return new HttpAnswer(actual, Map.of("Job-Id", answer.jobId().toString()), answer);
+    }
+
+    private static TeamId team(HttpCall call) {
+        return call.context().get(TEAM_KEY);
+    }
+
+    private static JobId jobId(HttpCall call) throws DispatchException {
+        try {
+            return JobId.parse(call.path("jobId"));
+        } catch (IllegalArgumentException e) {
+            throw new DispatchException(ErrorKind.UNKNOWN_JOB, e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -0,0 +1,86 @@
+package org.banyanspoke.daemon.http;
+
+import com.google.common.net.HostAndPort;
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.kernel.Kernel;
+import org.banyanspoke.kernel.Service;
+
+/** One listening port with its own router. */
+public final class HttpService implements Service {
+    private static final long TIMEOUT_SECONDS = 10;
+
+    private final Vertx vertx;
+    private final Options options;
+    private final Consumer<RouteTable> routes;
+    private final Consumer<ErrorKind> onError;
+    private volatile int port;
+    private String deploymentId;
+
+    /**
+     * Limits of a port.
+     *
+     * @param address where it listens; port 0 takes a free port and needs one event loop
+     * @param eventLoops event loops that parse requests and write responses
+     * @param maxBodyBytes largest request body
+     * @param bodyTimeoutMillis time for a request body, in milliseconds
+     */
+    public record Options(HostAndPort address, int eventLoops, int maxBodyBytes, long bodyTimeoutMillis) {}
+
+    HttpService(Vertx vertx, Options options, Consumer<RouteTable> routes, Consumer<ErrorKind> onError) {
+        this.vertx = vertx;
+        this.options = options;
+        this.routes = routes;
+        this.onError = onError;
+    }
+
+    @Override
+    public void start(Kernel kernel) throws Exception {
+        DeploymentOptions deployment = new DeploymentOptions().setInstances(options.eventLoops());
+        deploymentId = vertx.deployVerticle(Listener::new, deployment)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void stop() throws Exception {
+        vertx.undeploy(deploymentId).toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return port;
+    }
+
+    /** One server on one event loop; all of them share the port. */
+    private final class Listener extends AbstractVerticle {
+        @Override
+        public void start(Promise<Void> started) {
+            Router router = Router.router(vertx);
+            AnswerWriter answers = new AnswerWriter(vertx, onError);
+            BodyReader bodies = new BodyReader(vertx, options.maxBodyBytes(), options.bodyTimeoutMillis());
+            routes.accept(new RouteTable(router, bodies, answers));
+            HttpServerOptions serverOptions = new HttpServerOptions()
+                    .setHost(options.address().getHost())
+                    .setPort(options.address().getPort())
+                    .setHttp2ClearTextEnabled(false)
+                    .setTcpNoDelay(true);
+            HttpServer server = vertx.createHttpServer(serverOptions).requestHandler(router);
+            server.listen()
+                    .<Void>map(listening -> {
+                        port = listening.actualPort();
+                        return null;
+                    })
+                    .onComplete(started);
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/WorkGate.java
@@ -0,0 +1,14 @@
+package org.banyanspoke.daemon.http;
+
+import org.banyanspoke.api.errors.RefusedException;
+
+/** Decides whether this host takes new work at all. */
+@FunctionalInterface
+public interface WorkGate {
+    /**
+     * Lets new work pass.
+     *
+     * @throws RefusedException with {@code DRAINING} or {@code NOT_CONFIGURED}
+     */
+    void check() throws RefusedException;
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers for callers and for operators. */
+package org.banyanspoke.daemon.http;
