Add fair share queue and adaptive server pool

The dispatcher needs an order for waiting tasks and a choice of server before it can be wired. The queue keeps jobs per batch, team and class, so adding and polling cost O(log teams + log jobs). The pool keeps a window, a run time ratio, an ejection state and a leaving mark per server.

--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -0,0 +1,175 @@
+package org.banyanspoke.core.routing.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.BatchConfig;
+import org.banyanspoke.api.config.EntryHostConfig;
+import org.banyanspoke.api.ids.BatchId;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.DispatcherStats;
+import org.banyanspoke.core.routing.ConcurrencyWindow;
+import org.banyanspoke.core.routing.OutlierDetector;
+import org.banyanspoke.core.routing.ServerCandidate;
+import org.banyanspoke.core.routing.ServerPool;
+import org.banyanspoke.core.routing.ServerSelector;
+import org.banyanspoke.core.routing.SubsetAssignment;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/** Servers with learned windows, speeds and failures. Selecting costs O(servers of this host), without streams. */
+public final class AdaptiveServerPool implements ServerPool {
+    private final HostId self;
+    private final MonotonicClock clock;
+    private final ConcurrencyWindow windowRule;
+    private final ServerSelector selector;
+    private final OutlierDetector outliers;
+    private final SubsetAssignment assignment;
+    private final Map<ServerId, PooledServer> servers = new HashMap<>();
+    private final Map<BatchId, Eligible> eligibleByBatch = new HashMap<>();
+    private final List<PooledServer> withRoom = new ArrayList<>();
+    private Set<ServerId> leaving = Set.of();
+
+    /** Servers that one batch may use, as far as the configuration says. */
+    private record Eligible(BatchConfig batch, List<PooledServer> servers) {}
+
+    /** Creates a pool without servers. */
+    public AdaptiveServerPool(
+            HostId self,
+            MonotonicClock clock,
+            ConcurrencyWindow windowRule,
+            ServerSelector selector,
+            OutlierDetector outliers,
+            SubsetAssignment assignment) {
+        this.self = self;
+        this.clock = clock;
+        this.windowRule = windowRule;
+        this.selector = selector;
+        this.outliers = outliers;
+        this.assignment = assignment;
+    }
+
+    @Override
+    public void configure(ConfigState config) {
+        eligibleByBatch.clear();
+        servers.keySet().retainAll(config.servers().keySet());
+        for (BackendServerConfig server : config.servers().values()) {
+            configureServer(config, server);
+        }
+        setLeaving(leaving);
+    }
+
+    private void configureServer(ConfigState config, BackendServerConfig server) {
+        if (config.hosts().isEmpty()) {
+            pooled(server.id()).configure(server, true, 1);
+            return;
+        }
+        List<HostId> sharers = assignment.sharers(server, config.hosts().values());
+        if (!sharers.contains(self)) {
+            servers.remove(server.id());
+            return;
+        }
+        EntryHostConfig host = config.hosts().get(self);
+        pooled(server.id()).configure(server, host.zone().equals(server.zone()), sharers.size());
+    }
+
+    private PooledServer pooled(ServerId id) {
+        return servers.computeIfAbsent(id, unused -> new PooledServer(windowRule, outliers));
+    }
+
+    @Override
+    public void setLeaving(Set<ServerId> newLeaving) {
+        leaving = Set.copyOf(newLeaving);
+        for (PooledServer server : servers.values()) {
+            server.setLeavingElsewhere(leaving.contains(server.id()));
+        }
+    }
+
+    @Override
+    public boolean hasEligible(BatchConfig batch) {
+        for (PooledServer server : eligible(batch)) {
+            if (!server.isLeaving()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public Optional<ServerId> select(BatchConfig batch, TaskSpec task) {
+        long nowNanos = clock.nanos();
+        withRoom.clear();
+        List<PooledServer> candidates = eligible(batch);
+        for (int i = 0; i < candidates.size(); i++) {
+            PooledServer server = candidates.get(i);
+            if (server.admits(nowNanos, task.idempotent())) {
+                withRoom.add(server);
+            }
+        }
+        return withRoom.isEmpty()
+                ? Optional.empty()
+                : selector.select(withRoom, task).map(ServerCandidate::id);
+    }
+
+    @Override
+    public void onSent(ServerId server, TaskSpec task) {
+        PooledServer pooled = servers.get(server);
+        if (pooled != null) {
+            pooled.onSent();
+        }
+    }
+
+    @Override
+    public void onEnded(ServerId server, TaskSpec task, AttemptResult result) {
+        PooledServer pooled = servers.get(server);
+        if (pooled != null) {
+            pooled.onEnded(task, result, clock.nanos());
+        }
+    }
+
+    @Override
+    public double usableSlots(BatchConfig batch) {
+        long nowNanos = clock.nanos();
+        double sum = 0;
+        for (PooledServer server : eligible(batch)) {
+            sum += server.isLeaving() || server.isEjected(nowNanos) ? 0 : server.window();
+        }
+        return sum;
+    }
+
+    @Override
+    public List<DispatcherStats.ServerView> views() {
+        long nowNanos = clock.nanos();
+        List<DispatcherStats.ServerView> views = new ArrayList<>(servers.size());
+        for (PooledServer server : servers.values()) {
+            views.add(server.view(nowNanos));
+        }
+        return views;
+    }
+
+    private List<PooledServer> eligible(BatchConfig batch) {
+        Eligible known = eligibleByBatch.get(batch.id());
+        if (known == null || !known.batch().equals(batch)) {
+            known = new Eligible(batch, findEligible(batch));
+            eligibleByBatch.put(batch.id(), known);
+        }
+        return known.servers();
+    }
+
+    private List<PooledServer> findEligible(BatchConfig batch) {
+        List<PooledServer> found = new ArrayList<>();
+        for (PooledServer server : servers.values()) {
+            if (batch.allows(server.config())) {
+                found.add(server);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/LeavingMark.java
@@ -0,0 +1,27 @@
+package org.banyanspoke.core.routing.internal;
+
+import java.util.Objects;
+
+/** Whether a server's own answers said that it is leaving. Ends with another incarnation or a newer ticket. */
+final class LeavingMark {
+    private boolean leaving;
+    private String incarnation;
+
+    boolean isSet() {
+        return leaving;
+    }
+
+    void onAnswer(boolean saysLeaving, String answeredBy) {
+        if (saysLeaving) {
+            leaving = true;
+            incarnation = answeredBy;
+        } else if (leaving && answeredBy != null && !Objects.equals(answeredBy, incarnation)) {
+            leaving = false;
+        }
+    }
+
+    /** A ticket put the server in service after it had said that it is leaving. */
+    void clear() {
+        leaving = false;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -0,0 +1,147 @@
+package org.banyanspoke.core.routing.internal;
+
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.DispatcherStats;
+import org.banyanspoke.core.dispatch.LoadReport;
+import org.banyanspoke.core.routing.ConcurrencyWindow;
+import org.banyanspoke.core.routing.OutlierDetector;
+import org.banyanspoke.core.routing.ServerCandidate;
+
+/** Learned state of one server. */
+final class PooledServer implements ServerCandidate {
+    /** Round trip to another zone of the site, 1 to 1.4 ms each way; it only orders otherwise equal servers. */
+    private static final long REMOTE_ROUND_TRIP_NANOS = 2_800_000;
+
+    /** A failure in less than this part of the expected time counts as two, so that it attracts no work. */
+    private static final double FAST_FAILURE = 0.25;
+
+    private final RunTimeRatio ratio = new RunTimeRatio();
+    private final LeavingMark leavingMark = new LeavingMark();
+    private final Ejection ejection;
+    private final ConcurrencyWindow windowRule;
+    private BackendServerConfig config;
+    private boolean sameZone;
+    private boolean leavingElsewhere;
+    private int sharers;
+    private double window;
+    private int inFlight;
+    private double othersLoad;
+    private double unknownRatio = 1;
+
+    PooledServer(ConcurrencyWindow windowRule, OutlierDetector detector) {
+        this.windowRule = windowRule;
+        this.ejection = new Ejection(detector);
+    }
+
+    void configure(BackendServerConfig newConfig, boolean inSameZone, int newSharers) {
+        boolean changed = config != null && !config.equals(newConfig);
+        if (changed && newConfig.state() == ServerState.IN_SERVICE) {
+            leavingMark.clear();
+        }
+        if (config == null || newSharers != sharers) {
+            window = AdaptiveWindow.initial(newConfig.slots(), newSharers);
+        }
+        config = newConfig;
+        sameZone = inSameZone;
+        sharers = newSharers;
+    }
+
+    void setLeavingElsewhere(boolean leaving) {
+        leavingElsewhere = leaving;
+    }
+
+    void setUnknownRatio(double typical) {
+        unknownRatio = typical;
+    }
+
+    BackendServerConfig config() {
+        return config;
+    }
+
+    boolean isLeaving() {
+        return config.state() == ServerState.LEAVING || leavingElsewhere || leavingMark.isSet();
+    }
+
+    boolean admits(long nowNanos, boolean idempotent) {
+        return inFlight < (int) window && !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
+    }
+
+    boolean isEjected(long nowNanos) {
+        return ejection.isEjected(nowNanos);
+    }
+
+    double window() {
+        return window;
+    }
+
+    void onSent() {
+        inFlight++;
+    }
+
+    void onEnded(TaskSpec task, AttemptResult result, long nowNanos) {
+        leavingMark.onAnswer(result.serverLeaving(), result.serverIncarnation());
+        adjustWindow(task, result);
+        inFlight = Math.max(0, inFlight - 1);
+        if (result.load() != null) {
+            othersLoad = Math.max(0, result.load().running() + result.load().queued() - inFlight);
+        }
+        if (result.outcome() == AttemptResult.Outcome.DONE) {
+            ejection.onSuccess(nowNanos);
+            ratio.add(result.elapsedNanos(), task.declaredMillis());
+        } else {
+            // Failures say nothing about speed: a server that fails at once would look fast.
+            ejection.onFailure(nowNanos, failureWeight(task, result));
+        }
+    }
+
+    private void adjustWindow(TaskSpec task, AttemptResult result) {
+        LoadReport load = result.load();
+        if (load == null && result.outcome() != AttemptResult.Outcome.DONE) {
+            return;
+        }
+        window = windowRule.adjust(new ConcurrencyWindow.Observation(
+                window, inFlight, slots(), sharers, load, result.elapsedNanos() / expectedNanos(task)));
+    }
+
+    private int failureWeight(TaskSpec task, AttemptResult result) {
+        return result.elapsedNanos() < FAST_FAILURE * expectedNanos(task) ? 2 : 1;
+    }
+
+    private double expectedNanos(TaskSpec task) {
+        return Math.max(1, task.declaredMillis()) * 1e6 * runTimeRatio();
+    }
+
+    DispatcherStats.ServerView view(long nowNanos) {
+        return new DispatcherStats.ServerView(
+                id(), window, inFlight, 1 / runTimeRatio(), isEjected(nowNanos), isLeaving());
+    }
+
+    @Override
+    public ServerId id() {
+        return config.id();
+    }
+
+    @Override
+    public int slots() {
+        return Math.max(1, config.slots());
+    }
+
+    @Override
+    public double expectedLoad() {
+        return inFlight + othersLoad;
+    }
+
+    @Override
+    public double runTimeRatio() {
+        return ratio.valueOr(unknownRatio);
+    }
+
+    @Override
+    public long roundTripNanos() {
+        return sameZone ? 0 : REMOTE_ROUND_TRIP_NANOS;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/ResultHistory.java
@@ -0,0 +1,45 @@
+package org.banyanspoke.core.routing.internal;
+
+import org.banyanspoke.core.routing.OutlierDetector;
+
+/** The last results of one server, one bit each. */
+final class ResultHistory {
+    private static final int MASK = (1 << FailureRule.HISTORY) - 1;
+
+    private int failureBits;
+    private int count;
+    private int consecutiveFailures;
+
+    /** Adds a success. */
+    void addSuccess() {
+        consecutiveFailures = 0;
+        shift(0);
+    }
+
+    /**
+     * Adds a failure.
+     *
+     * @param weight number of results that it counts as
+     */
+    void addFailure(int weight) {
+        consecutiveFailures += weight;
+        for (int i = 0; i < weight; i++) {
+            shift(1);
+        }
+    }
+
+    private void shift(int bit) {
+        failureBits = ((failureBits << 1) | bit) & MASK;
+        count = Math.min(FailureRule.HISTORY, count + 1);
+    }
+
+    void clear() {
+        failureBits = 0;
+        count = 0;
+        consecutiveFailures = 0;
+    }
+
+    OutlierDetector.RecentResults results() {
+        return new OutlierDetector.RecentResults(consecutiveFailures, Integer.bitCount(failureBits), count);
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of the server pool. */
+package org.banyanspoke.core.routing.internal;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
@@ -0,0 +1,194 @@
+package org.banyanspoke.core.schedule.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.TaskQueue;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/**
+ * Order by class, then team, then earliest deadline. A class that holds less than its guaranteed share of the slots goes
+ * first, most urgent first; then the most urgent waiting class. Adding and polling cost O(log teams + log jobs).
+ */
+public final class FairShareQueue implements TaskQueue {
+    private static final UrgencyClass[] URGENCIES = UrgencyClass.values();
+
+    private final MonotonicClock clock;
+    private final ClassTasks[] classes = new ClassTasks[URGENCIES.length];
+    private final Map<JobId, JobTasks> jobs = new HashMap<>();
+    private ClassShares shares = ClassShares.DEFAULT;
+    private long sequence;
+    private long polls;
+
+    /** Creates an empty queue with the default shares. */
+    public FairShareQueue(MonotonicClock clock) {
+        this.clock = clock;
+        for (UrgencyClass urgency : URGENCIES) {
+            classes[urgency.ordinal()] = new ClassTasks(urgency);
+        }
+    }
+
+    @Override
+    public void configure(ClassShares newShares) {
+        shares = newShares;
+    }
+
+    @Override
+    public void add(QueuedTask task) {
+        ClassTasks owner = classes[task.batch().urgency().ordinal()];
+        TeamTasks team = owner.team(task.batch().team());
+        JobTasks job = jobs.computeIfAbsent(task.job(), unused -> newJob(team, task));
+        job.add(task);
+        owner.add(team, task.teamWeight(), 1);
+    }
+
+    private JobTasks newJob(TeamTasks team, QueuedTask task) {
+        BatchTasks batch = team.batch(task.batch().id());
+        JobTasks job = new JobTasks(task.job(), batch, task.deadlineNanos(), sequence++);
+        batch.add(job);
+        return job;
+    }
+
+    @Override
+    public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
+        polls++;
+        JobTasks job = firstBelowGuarantee(sendable);
+        if (job == null) {
+            job = firstOfAny(sendable);
+        }
+        return job == null ? Optional.empty() : Optional.of(take(job));
+    }
+
+    private JobTasks firstBelowGuarantee(Predicate<QueuedTask> sendable) {
+        int slotsInUse = 1;
+        for (ClassTasks tasks : classes) {
+            slotsInUse += tasks.inFlight();
+        }
+        for (ClassTasks tasks : classes) {
+            if (tasks.size() == 0 || tasks.inFlight() * 100 >= shares.percent(tasks.urgency()) * slotsInUse) {
+                continue;
+            }
+            JobTasks job = tasks.firstSendable(sendable, polls);
+            if (job != null) {
+                return job;
+            }
+        }
+        return null;
+    }
+
+    private JobTasks firstOfAny(Predicate<QueuedTask> sendable) {
+        for (ClassTasks tasks : classes) {
+            JobTasks job = tasks.firstSendable(sendable, polls);
+            if (job != null) {
+                return job;
+            }
+        }
+        return null;
+    }
+
+    private QueuedTask take(JobTasks job) {
+        QueuedTask task = job.removeFirst();
+        if (job.size() == 0) {
+            forget(job, task);
+        }
+        TeamTasks team = job.batch().team();
+        team.owner().remove(team, 1);
+        return task;
+    }
+
+    private void forget(JobTasks job, QueuedTask anyTask) {
+        jobs.remove(job.job());
+        job.batch().remove(job);
+        job.batch().team().dropIfEmpty(anyTask.batch().id(), job.batch());
+    }
+
+    @Override
+    public int removeJob(JobId id) {
+        JobTasks job = jobs.get(id);
+        if (job == null) {
+            return 0;
+        }
+        forget(job, job.first());
+        TeamTasks team = job.batch().team();
+        team.owner().remove(team, job.size());
+        return job.size();
+    }
+
+    @Override
+    public void onSent(QueuedTask task) {
+        ClassTasks owner = classes[task.batch().urgency().ordinal()];
+        owner.onSent(owner.team(task.batch().team()));
+    }
+
+    @Override
+    public void onEnded(QueuedTask task, long serviceNanos) {
+        ClassTasks owner = classes[task.batch().urgency().ordinal()];
+        owner.onEnded(owner.team(task.batch().team()), serviceNanos);
+    }
+
+    @Override
+    public int size(UrgencyClass urgency) {
+        return classes[urgency.ordinal()].size();
+    }
+
+    @Override
+    public int size(TeamId team) {
+        int sum = 0;
+        for (ClassTasks tasks : classes) {
+            TeamTasks existing = tasks.existing(team);
+            sum += existing == null ? 0 : existing.size();
+        }
+        return sum;
+    }
+
+    @Override
+    public long expectedWaitNanos(UrgencyClass urgency, TeamId team, double slots) {
+        ClassTasks tasks = classes[urgency.ordinal()];
+        if (tasks.size() == 0) {
+            return 0;
+        }
+        double classSlots = Math.max(1, slots) * classFraction(urgency);
+        double classWaitNanos = tasks.size() * tasks.meanServiceNanos() / classSlots;
+        return (long) (classWaitNanos * Math.min(1, teamFractionOfWait(tasks, team)));
+    }
+
+    /** Returns the part of the slots that a waiting class gets while the others wait as they do now. */
+    private double classFraction(UrgencyClass urgency) {
+        int percent = shares.percent(urgency);
+        boolean mostUrgentWaiting = true;
+        for (ClassTasks tasks : classes) {
+            boolean other = tasks.urgency() != urgency;
+            if (other && tasks.size() > 0 && tasks.urgency().ordinal() < urgency.ordinal()) {
+                mostUrgentWaiting = false;
+            }
+        }
+        if (mostUrgentWaiting) {
+            percent = 100;
+            for (ClassTasks tasks : classes) {
+                percent -= tasks.urgency() != urgency && tasks.size() > 0 ? shares.percent(tasks.urgency()) : 0;
+            }
+        }
+        return Math.max(1, percent) / 100.0;
+    }
+
+    /** Returns the wait of a team's next task relative to the time in which the whole class would be served. */
+    private static double teamFractionOfWait(ClassTasks tasks, TeamId id) {
+        TeamTasks team = tasks.existing(id);
+        if (team == null || team.size() == 0) {
+            return 1.0 / tasks.size();
+        }
+        double shareOfClass = (double) team.weight() / tasks.waitingWeight();
+        return team.size() / (shareOfClass * tasks.size());
+    }
+
+    /** Returns the present time, for the measurement of recent use. */
+    long nowNanos() {
+        return clock.nanos();
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of the task queue. */
+package org.banyanspoke.core.schedule.internal;
