--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of quota lending. */
+package org.banyanspoke.core.quota.internal;
--- /dev/null
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/quota/QuotaLendingTest.java
@@ -0,0 +1,248 @@
+package org.banyanspoke.core.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.EntryHostConfig;
+import org.banyanspoke.api.config.TeamConfig;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.DispatcherStats.TeamDemand;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class QuotaLendingTest {
+    private static final TeamId TEAM = new TeamId("a");
+    private static final long SECOND = 1_000_000_000L;
+
+    private static ConfigState config(int hosts, int startsPerSecond, int tasksInFlight) {
+        return config(1, hosts, startsPerSecond, tasksInFlight);
+    }
+
+    private static ConfigState config(long number, int hosts, int startsPerSecond, int tasksInFlight) {
+        Map<HostId, EntryHostConfig> roster = new HashMap<>();
+        for (int i = 0; i < hosts; i++) {
+            roster.put(host(i), new EntryHostConfig(host(i), new ZoneId("z1"), "127.0.0.1:1"));
+        }
+        TeamConfig team = new TeamConfig(TEAM, 1, startsPerSecond, tasksInFlight, "");
+        return new ConfigState(number, Map.of(TEAM, team), Map.of(), Map.of(), roster, ClassShares.DEFAULT);
+    }
+
+    private static HostId host(int number) {
+        return new HostId("h" + number);
+    }
+
+    @Nested
+    class Roster {
+        /** Guards against rounding that gives out more or less than the quota. */
+        @Property(tries = 200, seed = "1")
+        void partsAddUpToTheQuota(
+                @ForAll @IntRange(min = 1, max = 200) int hosts,
+                @ForAll @IntRange(max = 5000) int starts,
+                @ForAll @IntRange(max = 5000) int inFlight) {
+            ConfigState config = config(hosts, starts, inFlight);
+            QuotaAmount sum = QuotaAmount.NONE;
+            for (int i = 0; i < hosts; i++) {
+                sum = sum.plus(RosterShares.of(config, host(i)).get(TEAM));
+            }
+            assertThat(sum).isEqualTo(new QuotaAmount(starts * 1_000_000L, inFlight));
+        }
+    }
+
+    @Nested
+    class Lending {
+        private long nowNanos = -5 * SECOND;
+        private final QuotaLending borrower = QuotaLendings.halfOfUnused(host(0), () -> nowNanos, random(1));
+        private final QuotaLending lender = QuotaLendings.halfOfUnused(host(1), () -> nowNanos, random(2));
+
+        Lending() {
+            borrower.configure(config(2, 200, 20));
+            lender.configure(config(2, 200, 20));
+        }
+
+        private double startsPerSecond(QuotaLending host) {
+            return host.shares().shares().get(TEAM).startsPerSecond();
+        }
+
+        private LoanRequest request() {
+            return borrower.tick(Map.of(TEAM, new TeamDemand(100, 180, 1)), List.of(host(1)))
+                    .orElseThrow();
+        }
+
+        /** Guards against a lender that keeps using what it lent, and against loans that never end. */
+        @Test
+        void halfOfTheUnusedShareMovesUntilItLapses() {
+            borrower.onGrant(lender.onRequest(request()).orElseThrow());
+            assertThat(startsPerSecond(borrower)).isEqualTo(150);
+            assertThat(startsPerSecond(lender)).isEqualTo(50);
+            nowNanos += 5 * SECOND;
+            assertThat(startsPerSecond(borrower)).isEqualTo(100);
+            assertThat(startsPerSecond(lender)).isEqualTo(50);
+            nowNanos += SECOND;
+            assertThat(startsPerSecond(lender)).isEqualTo(100);
+        }
+
+        /** Guards against a loan that counts twice because the network repeated a message. */
+        @Test
+        void duplicatesChangeNothing() {
+            LoanRequest request = request();
+            LoanGrant grant = lender.onRequest(request).orElseThrow();
+            assertThat(lender.onRequest(request)).contains(grant);
+            borrower.onGrant(grant);
+            borrower.onGrant(grant);
+            assertThat(startsPerSecond(borrower)).isEqualTo(150);
+            assertThat(startsPerSecond(lender)).isEqualTo(50);
+        }
+
+        /** Guards against a grant that arrives after the lender has taken its share back. */
+        @Test
+        void lateGrantIsIgnored() {
+            LoanGrant grant = lender.onRequest(request()).orElseThrow();
+            nowNanos += 5 * SECOND;
+            borrower.onGrant(grant);
+            assertThat(startsPerSecond(borrower)).isEqualTo(100);
+        }
+
+        /** Guards against loans computed from different rosters. */
+        @Test
+        void loansEndWithTheConfiguration() {
+            LoanRequest request = request();
+            borrower.onGrant(lender.onRequest(request).orElseThrow());
+            borrower.configure(config(2, 2, 200, 20));
+            assertThat(startsPerSecond(borrower)).isEqualTo(100);
+            lender.configure(config(2, 2, 200, 20));
+            assertThat(startsPerSecond(lender)).isEqualTo(50);
+            assertThat(lender.onRequest(request)).isEmpty();
+        }
+    }
+
+    /** Hosts that exchange messages over a network that loses, delays and repeats them, and that pause. */
+    private static final class Network {
+        private final UniformRandomProvider random;
+        private final List<QuotaLending> hosts = new ArrayList<>();
+        private final List<QuotaShares.Share> inForce = new ArrayList<>();
+        private final List<Runnable> late = new ArrayList<>();
+        private final long[] pausedUntilNanos;
+        private long nowNanos;
+        private int grantsTaken;
+
+        Network(int hostCount, long seed) {
+            random = random(seed);
+            nowNanos = random.nextLong();
+            pausedUntilNanos = new long[hostCount];
+            for (int i = 0; i < hostCount; i++) {
+                QuotaLending host = QuotaLendings.halfOfUnused(host(i), () -> nowNanos, random(seed + i + 1));
+                host.configure(config(hostCount, 1001, 103));
+                hosts.add(host);
+                inForce.add(null);
+                publish(i);
+                pausedUntilNanos[i] = nowNanos;
+            }
+        }
+
+        /** A paused host keeps the shares that it last put in force. */
+        private void publish(int host) {
+            inForce.set(host, hosts.get(host).shares().shares().get(TEAM));
+        }
+
+        void step() {
+            nowNanos += random.nextLong(SECOND / 4);
+            int host = random.nextInt(hosts.size());
+            if (random.nextInt(20) == 0) {
+                pausedUntilNanos[host] = nowNanos + random.nextLong(12 * SECOND);
+            }
+            if (nowNanos - pausedUntilNanos[host] >= 0) {
+                tick(host);
+            }
+            while (!late.isEmpty() && random.nextBoolean()) {
+                late.remove(random.nextInt(late.size())).run();
+            }
+        }
+
+        private void tick(int host) {
+            double wanted = random.nextInt(3) == 0 ? 800 : 5;
+            TeamDemand demand = new TeamDemand(wanted, wanted, random.nextInt(60));
+            List<HostId> peers = new ArrayList<>();
+            for (int i = 0; i < hosts.size(); i++) {
+                if (i != host) {
+                    peers.add(host(i));
+                }
+            }
+            hosts.get(host).tick(Map.of(TEAM, demand), peers).ifPresent(request -> {
+                int lender = Integer.parseInt(request.lender().value().substring(1));
+                send(
+                        lender,
+                        () -> hosts.get(lender).onRequest(request).ifPresent(grant -> {
+                            publish(lender);
+                            send(host, () -> accept(host, grant));
+                        }));
+            });
+            publish(host);
+        }
+
+        private void accept(int host, LoanGrant grant) {
+            hosts.get(host).onGrant(grant);
+            publish(host);
+            grantsTaken++;
+        }
+
+        /** Delivers 0 to 3 times, at once or later; messages to a paused host wait until it resumes. */
+        private void send(int to, Runnable message) {
+            int copies = random.nextInt(4);
+            for (int i = 0; i < copies; i++) {
+                deliver(to, message);
+            }
+        }
+
+        private void deliver(int to, Runnable message) {
+            if (nowNanos - pausedUntilNanos[to] < 0 || random.nextInt(3) == 0) {
+                late.add(() -> deliver(to, message));
+            } else {
+                message.run();
+            }
+        }
+
+        double startsPerSecond() {
+            return inForce.stream()
+                    .mapToDouble(share -> share.startsPerSecondAt(nowNanos))
+                    .sum();
+        }
+
+        int tasksInFlight() {
+            return inForce.stream()
+                    .mapToInt(share -> share.tasksInFlightAt(nowNanos))
+                    .sum();
+        }
+    }
+
+    private static UniformRandomProvider random(long seed) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    @Nested
+    class Faults {
+        /** Guards against a sum above the quota under loss, delay, repetition and pauses. */
+        @Property(tries = 200, seed = "2")
+        void sumNeverExceedsTheQuota(@ForAll @IntRange(min = 2, max = 9) int hosts, @ForAll long seed) {
+            Network network = new Network(hosts, seed);
+            for (int i = 0; i < 400; i++) {
+                network.step();
+                // Shares are whole millionths; the tolerance covers the conversion to double only.
+                assertThat(network.startsPerSecond()).isLessThanOrEqualTo(1001 + 1e-6);
+                assertThat(network.tasksInFlight()).isLessThanOrEqualTo(103);
+            }
+            assertThat(network.grantsTaken).isPositive();
+        }
+    }
+}
