--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/config/InvalidTicketException.java
@@ -0,0 +1,25 @@
+package org.banyanspoke.core.config;
+
+import java.util.List;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+
+/** A ticket breaks rules of the configuration. Carries every fault, not only the first. */
+public final class InvalidTicketException extends DispatchException {
+    private static final long serialVersionUID = 1L;
+
+    private final List<String> faults;
+
+    /**
+     * @param faults one sentence for each broken rule, at least one
+     */
+    public InvalidTicketException(List<String> faults) {
+        super(ErrorKind.TICKET_INVALID, String.join("; ", faults));
+        this.faults = List.copyOf(faults);
+    }
+
+    /** Returns one sentence for each broken rule. */
+    public List<String> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/config/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Rules of tickets. */
+package org.banyanspoke.core.config.internal;
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/internal/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP requests to the platform. */
+package org.banyanspoke.daemon.platform.internal;
