--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/DispatchLog.java
@@ -0,0 +1,72 @@
+package org.banyanspoke.daemon;
+
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.DispatchEvents;
+import org.banyanspoke.daemon.control.ControlPlane;
+import org.banyanspoke.daemon.logging.EventLog;
+import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.jboss.logging.Logger;
+
+/** Passes what the dispatcher does on to metrics, log and control plane. */
+final class DispatchLog implements DispatchEvents {
+    private static final EventLog LOG = EventLog.of(DispatchLog.class);
+
+    private final DaemonMetrics metrics;
+    private final ControlPlane control;
+
+    DispatchLog(DaemonMetrics metrics, ControlPlane control) {
+        this.metrics = metrics;
+        this.control = control;
+    }
+
+    @Override
+    public void taskEnded(
+            TeamId team,
+            UrgencyClass urgency,
+            ServerId server,
+            AttemptResult.Outcome outcome,
+            long waitNanos,
+            long serviceNanos) {
+        metrics.taskEnded(team, urgency, server, outcome, waitNanos, serviceNanos);
+    }
+
+    /** Failed jobs are logged at DEBUG: a flood of them must not fill the log; counters have their number. */
+    @Override
+    public void jobEnded(TeamId team, UrgencyClass urgency, JobId job, ErrorKind kind, long totalNanos) {
+        metrics.jobEnded(team, urgency, job, kind, totalNanos);
+        if (kind != null) {
+            LOG.event(Logger.Level.DEBUG, "a job failed")
+                    .with("job", job)
+                    .with("team", team)
+                    .with("errorKind", kind)
+                    .write();
+        }
+    }
+
+    @Override
+    public void refused(TeamId team, ErrorKind kind) {
+        metrics.refused(team, kind);
+        LOG.event(Logger.Level.DEBUG, "a submission was refused")
+                .with("team", team)
+                .with("errorKind", kind)
+                .write();
+    }
+
+    @Override
+    public void ejection(ServerId server, boolean ejected) {
+        metrics.ejection(server, ejected);
+        LOG.event(Logger.Level.WARN, ejected ? "a server was set aside after failures" : "a server was taken back")
+                .with("server", server)
+                .write();
+    }
+
+    @Override
+    public void serverLeaving(ServerId server, String incarnation) {
+        control.reportLeaving(server, incarnation);
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
@@ -0,0 +1,61 @@
+package org.banyanspoke.daemon.http;
+
+import io.vertx.core.Vertx;
+import org.banyanspoke.daemon.control.ControlPlane;
+import org.banyanspoke.daemon.jobs.DispatchService;
+import org.banyanspoke.daemon.jobs.LocalJobs;
+import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.settings.Settings;
+import org.banyanspoke.kernel.ServiceName;
+
+/** Creates the two HTTP services. Each has its own router, so no operator route exists on the callers' port. */
+public final class HttpServices {
+    /** The callers' port. */
+    public static final ServiceName<HttpService> CALLERS = new ServiceName<>("callers-http", HttpService.class);
+
+    /** The operators' port. */
+    public static final ServiceName<HttpService> ADMIN = new ServiceName<>("admin-http", HttpService.class);
+
+    private HttpServices() {}
+
+    /**
+     * Returns the service of the callers' port.
+     *
+     * @param eventLoops event loops that parse requests
+     * @param jobs jobs of this host and, by forwarding, of others
+     * @param gate checked before new work
+     */
+    public static HttpService callers(
+            Vertx vertx,
+            Settings.Callers settings,
+            int eventLoops,
+            ControlPlane control,
+            LocalJobs jobs,
+            WorkGate gate,
+            HostStatus host,
+            DaemonMetrics metrics) {
+        HttpService.Options options = new HttpService.Options(
+                settings.address(), eventLoops, settings.maxBodyBytes(), settings.bodyTimeoutMillis());
+        CallerRoutes routes = new CallerRoutes(new TeamAuthenticator(control::config), jobs, gate, host::ready);
+        return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
+    }
+
+    /** Returns the service of the operators' port. Its body limits are those of the callers' port. */
+    public static HttpService admin(
+            Vertx vertx,
+            Settings settings,
+            HostStatus host,
+            ControlPlane control,
+            DispatchService dispatch,
+            DaemonMetrics metrics) {
+        HttpService.Options options = new HttpService.Options(
+                settings.admin().address(),
+                1,
+                settings.callers().maxBodyBytes(),
+                settings.callers().bodyTimeoutMillis());
+        OperatorAuthenticator authenticator =
+                new OperatorAuthenticator(settings.admin().operatorTokensSha256());
+        AdminRoutes routes = new AdminRoutes(authenticator, host, control, dispatch, metrics);
+        return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of one daemon. */
+package org.banyanspoke.daemon.metrics;
