Add the dispatcher of one entry host with the baseline policy

Cause: the daemon needs a dispatcher to wire. Change: job id issuer and register, job state machine, admission rules, quota shares, dispatcher, first-come-first-served queue and random server pool, and the factory Dispatchers. ServerPool gets a default method onStopped, because the result of a task that was stopped on request is no failure of its server.

--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/TeamLedger.java
@@ -0,0 +1,51 @@
+package org.banyanspoke.core.admission.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.core.dispatch.DispatcherStats.TeamDemand;
+import org.banyanspoke.core.quota.QuotaShares;
+import org.banyanspoke.core.quota.QuotaShares.Share;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/** Use of every team's quota at this host. */
+public final class TeamLedger {
+    private static final Share NO_SHARE = new Share(0, 0, Long.MAX_VALUE, 0);
+
+    private final MonotonicClock clock;
+    private final Map<TeamId, TeamUsage> teams = new HashMap<>();
+
+    /** No team has a share yet. */
+    public TeamLedger(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /** Replaces the shares. A team without an entry has none from now on. */
+    public void setShares(QuotaShares shares) {
+        long nowNanos = clock.nanos();
+        teams.forEach((team, usage) -> usage.setShare(shares.shares().getOrDefault(team, NO_SHARE), nowNanos));
+        shares.shares().forEach((team, share) -> teams.computeIfAbsent(team, id -> new TeamUsage(share, nowNanos)));
+        teams.entrySet()
+                .removeIf(entry -> !shares.shares().containsKey(entry.getKey())
+                        && entry.getValue().inFlight() == 0);
+    }
+
+    /** Returns the use of one team's quota. */
+    public TeamUsage team(TeamId team) {
+        return teams.computeIfAbsent(team, id -> new TeamUsage(NO_SHARE, clock.nanos()));
+    }
+
+    /** Closes the meters' intervals that have lasted a second. */
+    public void rollMeters() {
+        long nowNanos = clock.nanos();
+        teams.values().forEach(usage -> usage.rollMeter(nowNanos));
+    }
+
+    /** Returns starts and demand of every team. */
+    public Map<TeamId, TeamDemand> demand() {
+        long nowNanos = clock.nanos();
+        Map<TeamId, TeamDemand> demand = new HashMap<>();
+        teams.forEach((team, usage) -> demand.put(team, usage.demand(nowNanos)));
+        return demand;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of the package above. */
+package org.banyanspoke.core.admission.internal;
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/LoadMeter.java
@@ -0,0 +1,66 @@
+package org.banyanspoke.core.dispatch.internal;
+
+import java.util.concurrent.TimeUnit;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.admission.AdmissionLoad;
+import org.banyanspoke.core.admission.AdmissionRequest;
+import org.banyanspoke.core.admission.internal.TeamUsage;
+import org.banyanspoke.core.routing.ServerPool;
+import org.banyanspoke.core.schedule.TaskQueue;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/** Measures the load that admission depends on. */
+final class LoadMeter {
+    private final MonotonicClock clock;
+    private final TaskQueue queue;
+    private final ServerPool pool;
+    private final TaskSender sender;
+    private final ServiceTimes serviceTimes = new ServiceTimes();
+
+    LoadMeter(MonotonicClock clock, TaskQueue queue, ServerPool pool, TaskSender sender) {
+        this.clock = clock;
+        this.queue = queue;
+        this.pool = pool;
+        this.sender = sender;
+    }
+
+    /** Learns from a completed task. */
+    void onDone(UrgencyClass urgency, long serviceNanos) {
+        serviceTimes.onDone(urgency, serviceNanos);
+    }
+
+    AdmissionLoad load(AdmissionRequest request, TeamUsage usage, ClassShares shares) {
+        long nowNanos = clock.nanos();
+        double slots = pool.usableSlots(request.batch());
+        UrgencyClass urgency = request.batch().urgency();
+        return new AdmissionLoad(
+                pool.hasEligible(request.batch()),
+                slots,
+                classWaitNanos(request, shares, slots),
+                queue.expectedWaitNanos(urgency, request.team(), slots),
+                usage.waiting(),
+                usage.inFlight(),
+                usage.maxInFlight(),
+                usage.allowedPerSecond(nowNanos),
+                usage.startsReady(nowNanos));
+    }
+
+    private long classWaitNanos(AdmissionRequest request, ClassShares shares, double slots) {
+        UrgencyClass urgency = request.batch().urgency();
+        int waiting = sender.waiting(urgency);
+        if (waiting == 0) {
+            return 0;
+        }
+        double guaranteedSlots = slots * shares.percent(urgency) / 100;
+        double workNanos = waiting * serviceTimes.meanNanos(urgency, meanDeclaredNanos(request));
+        return guaranteedSlots == 0 ? Long.MAX_VALUE : (long) (workNanos / guaranteedSlots);
+    }
+
+    private static double meanDeclaredNanos(AdmissionRequest request) {
+        return request.job().tasks().stream().mapToLong(TaskSpec::declaredMillis).average().stream()
+                .map(millis -> millis * TimeUnit.MILLISECONDS.toNanos(1))
+                .sum();
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/RunningJob.java
@@ -0,0 +1,63 @@
+package org.banyanspoke.core.dispatch.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.banyanspoke.api.config.BatchConfig;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.admission.internal.TeamUsage;
+import org.banyanspoke.core.job.JobExecution;
+
+/** A job that has not ended, with its callers and the attempts that hold slots. */
+final class RunningJob {
+    final JobId jobId;
+    final TeamId team;
+    final List<TaskSpec> tasks;
+    final JobExecution execution;
+    final TeamUsage usage;
+    final long submittedNanos;
+    final long deadlineNanos;
+    /** Order of admission, which makes equal deadlines distinct. */
+    final long order;
+
+    final List<Consumer<JobAnswer>> callers = new ArrayList<>(1);
+    final Set<SentTask> sent = new HashSet<>();
+    /** The batch as last configured; as admitted if it has been removed since. */
+    BatchConfig batch;
+
+    private int[] moves;
+
+    RunningJob(
+            JobId jobId,
+            TeamId team,
+            List<TaskSpec> tasks,
+            BatchConfig batch,
+            TeamUsage usage,
+            long submittedNanos,
+            long deadlineNanos,
+            long order) {
+        this.jobId = jobId;
+        this.team = team;
+        this.tasks = tasks;
+        this.batch = batch;
+        this.usage = usage;
+        this.submittedNanos = submittedNanos;
+        this.deadlineNanos = deadlineNanos;
+        this.order = order;
+        this.execution = new JobExecution(jobId, tasks);
+    }
+
+    /** Counts a move of a task and returns how often it has been moved. Few jobs ever need the counters. */
+    int countMove(int index) {
+        if (moves == null) {
+            moves = new int[tasks.size()];
+        }
+        moves[index]++;
+        return moves[index];
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/ServiceTimes.java
@@ -0,0 +1,22 @@
+package org.banyanspoke.core.dispatch.internal;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.banyanspoke.api.config.UrgencyClass;
+
+/** Mean service time of each class, as an exponentially weighted average of completed tasks. */
+final class ServiceTimes {
+    /** Weight of one sample: the average follows the last 100 tasks or so. */
+    private static final double SAMPLE_WEIGHT = 0.02;
+
+    private final Map<UrgencyClass, Double> meanNanos = new EnumMap<>(UrgencyClass.class);
+
+    void onDone(UrgencyClass urgency, long serviceNanos) {
+        meanNanos.merge(urgency, (double) serviceNanos, (mean, sample) -> mean + SAMPLE_WEIGHT * (serviceNanos - mean));
+    }
+
+    /** Returns the mean, or the given value before the first completed task. */
+    double meanNanos(UrgencyClass urgency, double withoutSamplesNanos) {
+        return meanNanos.getOrDefault(urgency, withoutSamplesNanos);
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/TaskSender.java
@@ -0,0 +1,207 @@
+package org.banyanspoke.core.dispatch.internal;
+
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.ids.BatchId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.TaskAttempt;
+import org.banyanspoke.core.dispatch.TaskTransport;
+import org.banyanspoke.core.routing.ServerPool;
+import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.TaskQueue;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/** Sends waiting tasks of running jobs to backend servers with room and keeps account of the slots they hold. */
+final class TaskSender {
+    private final MonotonicClock clock;
+    private final RunningJobs jobs;
+    private final TaskQueue queue;
+    private final ServerPool pool;
+    private final TaskTransport transport;
+    private final BiConsumer<SentTask, AttemptResult> onResult;
+
+    private final HeldTasks held = new HeldTasks();
+    private long lastAttemptId;
+    private int inFlight;
+    private QueuedTask candidate;
+    private ServerId candidateServer;
+
+    /**
+     * @param onResult receives the first result of each attempt, after the slot is free
+     */
+    TaskSender(
+            MonotonicClock clock,
+            RunningJobs jobs,
+            TaskQueue queue,
+            ServerPool pool,
+            TaskTransport transport,
+            BiConsumer<SentTask, AttemptResult> onResult) {
+        this.clock = clock;
+        this.jobs = jobs;
+        this.queue = queue;
+        this.pool = pool;
+        this.transport = transport;
+        this.onResult = onResult;
+    }
+
+    /** Queues all tasks of a new job. */
+    void enqueue(RunningJob job, int teamWeight) {
+        job.usage.onWaiting(job.tasks.size());
+        for (int i = 0; i < job.tasks.size(); i++) {
+            queue.add(new QueuedTask(
+                    job.jobId, i, job.tasks.get(i), job.batch, teamWeight, job.deadlineNanos, job.submittedNanos));
+        }
+    }
+
+    /** Keeps a task that a server did not take until another server has room. */
+    void hold(SentTask sent, long avoidUntilNanos) {
+        sent.job.usage.onWaiting(1);
+        held.add(new HeldTasks.Held(sent.job, sent.queued, sent.attempt.server(), avoidUntilNanos));
+    }
+
+    /** Removes the waiting tasks of an ended job and asks the servers to stop those that run. */
+    void withdraw(RunningJob job) {
+        job.usage.onWithdrawn(queue.removeJob(job.jobId) + held.removeJob(job));
+        for (SentTask sent : List.copyOf(job.sent)) {
+            transport.stop(sent.attempt);
+        }
+    }
+
+    /** Sends every task that can be sent now. */
+    void sendWaiting() {
+        long nowNanos = clock.nanos();
+        sendHeld(nowNanos);
+        Optional<QueuedTask> next = queue.poll(task -> isSendable(task, nowNanos));
+        while (next.isPresent()) {
+            sendPolled(next.get(), nowNanos);
+            next = queue.poll(task -> isSendable(task, nowNanos));
+        }
+    }
+
+    private void sendHeld(long nowNanos) {
+        if (held.isEmpty()) {
+            return;
+        }
+        Set<BatchId> withoutRoom = new HashSet<>();
+        held.sendEach(task -> sendHeld(task, withoutRoom, nowNanos));
+    }
+
+    private boolean sendHeld(HeldTasks.Held task, Set<BatchId> withoutRoom, long nowNanos) {
+        RunningJob job = task.job();
+        if (withoutRoom.contains(job.batch.id()) || !job.usage.mayStart(nowNanos)) {
+            return false;
+        }
+        Optional<ServerId> server = pool.select(job.batch, task.queued().task());
+        if (server.isEmpty()) {
+            withoutRoom.add(job.batch.id());
+            return false;
+        }
+        if (server.get().equals(task.avoid()) && nowNanos - task.avoidUntilNanos() < 0) {
+            return false;
+        }
+        send(job, task.queued(), server.get(), nowNanos);
+        return true;
+    }
+
+    /** Remembers the selected server, so that the queue's choice needs no second selection. */
+    private boolean isSendable(QueuedTask task, long nowNanos) {
+        RunningJob job = jobs.get(task.job());
+        if (!job.usage.mayStart(nowNanos)) {
+            return false;
+        }
+        candidate = task;
+        candidateServer = pool.select(job.batch, task.task()).orElse(null);
+        return candidateServer != null;
+    }
+
+    private void sendPolled(QueuedTask task, long nowNanos) {
+        if (!isCandidate(task) && !isSendable(task, nowNanos)) {
+            throw new IllegalStateException("the queue returned a task that cannot be sent");
+        }
+        send(jobs.get(task.job()), task, candidateServer, nowNanos);
+    }
+
+    private boolean isCandidate(QueuedTask task) {
+        return task.index() == candidate.index() && task.job().equals(candidate.job());
+    }
+
+    private void send(RunningJob job, QueuedTask task, ServerId server, long nowNanos) {
+        job.execution.onTaskSent(task.index());
+        job.usage.onSent();
+        queue.onSent(task);
+        pool.onSent(server, task.task());
+        inFlight++;
+        lastAttemptId++;
+        TaskAttempt attempt =
+                new TaskAttempt(lastAttemptId, job.jobId, task.task(), server, leaseMillis(job, nowNanos));
+        SentTask sent = new SentTask(job, task, attempt, nowNanos);
+        job.sent.add(sent);
+        transport.start(attempt, result -> onEnd(sent, result));
+    }
+
+    /** A lease of 0 would be expired on arrival, and a job past its deadline is not sent. */
+    private static long leaseMillis(RunningJob job, long nowNanos) {
+        return Math.max(1, TimeUnit.NANOSECONDS.toMillis(job.deadlineNanos - nowNanos));
+    }
+
+    private void onEnd(SentTask sent, AttemptResult result) {
+        if (sent.ended) {
+            return;
+        }
+        sent.ended = true;
+        RunningJob job = sent.job;
+        job.sent.remove(sent);
+        job.usage.onEnded();
+        queue.onEnded(sent.queued, result.elapsedNanos());
+        inFlight--;
+        tellPool(sent, result);
+        onResult.accept(sent, result);
+    }
+
+    /** A task that was stopped says nothing about the health of its server. */
+    private void tellPool(SentTask sent, AttemptResult result) {
+        ServerId server = sent.attempt.server();
+        if (sent.job.execution.isEnded()) {
+            pool.onStopped(server, sent.attempt.task(), result);
+        } else {
+            pool.onEnded(server, sent.attempt.task(), result);
+        }
+    }
+
+    /** Returns the tasks that hold slots. */
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the waiting tasks of a class. */
+    int waiting(UrgencyClass urgency) {
+        return queue.size(urgency) + held.size(urgency);
+    }
+
+    /** Returns the waiting tasks by class. */
+    Map<UrgencyClass, Integer> waiting() {
+        Map<UrgencyClass, Integer> waiting = new EnumMap<>(UrgencyClass.class);
+        for (UrgencyClass urgency : UrgencyClass.values()) {
+            waiting.put(urgency, waiting(urgency));
+        }
+        return waiting;
+    }
+
+    /** Returns whether any task waits. */
+    boolean hasWaiting() {
+        for (UrgencyClass urgency : UrgencyClass.values()) {
+            if (waiting(urgency) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/ProcessIdentity.java
@@ -0,0 +1,13 @@
+package org.banyanspoke.core.identity;
+
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+
+/**
+ * The process that issues job ids.
+ *
+ * @param host the entry host
+ * @param peerAddress {@code ip:port} of its peer protocol
+ * @param incarnation this start of the process
+ */
+public record ProcessIdentity(HostId host, String peerAddress, Incarnation incarnation) {}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/internal/AnswerSizes.java
@@ -0,0 +1,24 @@
+package org.banyanspoke.core.identity.internal;
+
+import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.TaskAnswer;
+
+/** Approximate heap sizes of answers. */
+public final class AnswerSizes {
+    /** Objects of an answer with its counts and error, in bytes; an upper estimate from the field layouts. */
+    private static final long ANSWER_BYTES = 512;
+
+    /** Objects of one task's answer besides the text of the result, in bytes. */
+    private static final long TASK_BYTES = 96;
+
+    private AnswerSizes() {}
+
+    /** Returns the approximate size in bytes. */
+    public static long bytes(JobAnswer answer) {
+        long bytes = ANSWER_BYTES;
+        for (TaskAnswer task : answer.tasks()) {
+            bytes += TASK_BYTES + (task.result() == null ? 0 : task.result().length());
+        }
+        return bytes;
+    }
+}
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/ServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/ServerPool.java
@@ -30,6 +30,14 @@
     /** Tells how an attempt ended. */
     void onEnded(ServerId server, TaskSpec task, AttemptResult result);
 
+    /**
+     * Tells that an attempt ended after its job had ended and the server was asked to stop the task. Frees its place in
+     * the window; anything but {@code DONE} is the effect of the stop and no failure of the server.
+     */
+    default void onStopped(ServerId server, TaskSpec task, AttemptResult result) {
+        onEnded(server, task, result);
+    }
+
     /** Returns the sum of the windows of the servers that may serve the batch: tasks this host can have running. */
     double usableSlots(BatchConfig batch);
 
--- /dev/null
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherFixture.java
@@ -0,0 +1,176 @@
+package org.banyanspoke.core.dispatch;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.BatchConfig;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.config.TeamConfig;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.ids.BatchId;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.TaskId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.api.job.JobRequest;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.identity.ProcessIdentity;
+import org.banyanspoke.core.quota.QuotaShares;
+
+/** A dispatcher with the baseline policy, manual clocks and a transport that is answered by the test. */
+final class DispatcherFixture {
+    static final TeamId TEAM = new TeamId("team");
+    static final TeamId OTHER_TEAM = new TeamId("other");
+    static final BatchId BATCH = new BatchId("batch");
+    static final ServerId S1 = new ServerId("s1");
+    static final ServerId S2 = new ServerId("s2");
+    static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
+    static final long PROMISE_MILLIS = 1_000;
+
+    /** Wall clock that the test sets. */
+    static final class WallClock extends Clock {
+        Instant now = START;
+
+        @Override
+        public ZoneOffset getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(java.time.ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return now;
+        }
+    }
+
+    final WallClock wallClock = new WallClock();
+    final FakeTransport transport = new FakeTransport();
+    final Dispatcher dispatcher;
+    long nanos = 1_000;
+    private long configNumber;
+
+    DispatcherFixture() {
+        this(DispatcherSettings.DEFAULT, transport -> transport);
+    }
+
+    /** Wraps the transport, to show that a check detects a wrong one. */
+    DispatcherFixture(DispatcherSettings settings, Function<TaskTransport, TaskTransport> wrap) {
+        dispatcher = Dispatchers.create(
+                new ProcessIdentity(new HostId("h1"), "127.0.0.1:8082", new Incarnation(42)),
+                "0123456789abcdef".getBytes(StandardCharsets.UTF_8),
+                () -> nanos,
+                wallClock,
+                Dispatchers.baselineQueue(),
+                Dispatchers.baselinePool(RandomSource.SPLIT_MIX_64.create(7L)),
+                wrap.apply(transport),
+                DispatchEvents.NONE,
+                settings);
+    }
+
+    /** Returns a fixture with a configuration, two servers and quota for 1,000 starts/s and 2,000 tasks in flight. */
+    static DispatcherFixture configured() {
+        DispatcherFixture fixture = new DispatcherFixture();
+        fixture.configureDefault();
+        return fixture;
+    }
+
+    void configureDefault() {
+        configure(START.plus(Duration.ofHours(1)), S1, S2);
+        setQuota(1_000, 2_000);
+    }
+
+    void configure(Instant contractExpiry, ServerId... servers) {
+        configNumber++;
+        BatchConfig batch =
+                new BatchConfig(BATCH, TEAM, UrgencyClass.NORMAL, contractExpiry, PROMISE_MILLIS, Set.of(), Set.of());
+        dispatcher.configure(new ConfigState(
+                configNumber,
+                Map.of(TEAM, team(TEAM), OTHER_TEAM, team(OTHER_TEAM)),
+                Map.of(BATCH, batch),
+                Arrays.stream(servers).collect(Collectors.toMap(id -> id, DispatcherFixture::server)),
+                Map.of(),
+                ClassShares.DEFAULT));
+    }
+
+    private static TeamConfig team(TeamId id) {
+        return new TeamConfig(id, 1, 1_000, 2_000, "");
+    }
+
+    private static BackendServerConfig server(ServerId id) {
+        return new BackendServerConfig(
+                id, new ZoneId("z1"), "r1", "127.0.0.1:9100", 8, 64, Set.of(), ServerState.IN_SERVICE);
+    }
+
+    void setQuota(double startsPerSecond, int tasksInFlight) {
+        QuotaShares.Share share =
+                new QuotaShares.Share(startsPerSecond, tasksInFlight, Long.MAX_VALUE, startsPerSecond);
+        dispatcher.setQuotaShares(new QuotaShares(Map.of(TEAM, share)));
+    }
+
+    void advanceMillis(long millis) {
+        nanos += Duration.ofMillis(millis).toNanos();
+        wallClock.now = wallClock.now.plusMillis(millis);
+        dispatcher.tick();
+    }
+
+    JobId reserve() throws Exception {
+        return dispatcher.reserve(TEAM, 1).get(0);
+    }
+
+    Caller submit(JobId id, JobRequest request) throws Exception {
+        Caller caller = new Caller();
+        dispatcher.submit(submission(id, request), caller);
+        return caller;
+    }
+
+    static Submission submission(JobId id, JobRequest request) {
+        return new Submission(
+                TEAM, id, request, Hashing.sha256().hashString(request.toString(), StandardCharsets.UTF_8));
+    }
+
+    static JobRequest job(int tasks, boolean idempotent) {
+        List<TaskSpec> specs = IntStream.range(0, tasks)
+                .mapToObj(i -> new TaskSpec(new TaskId("t" + i), "p" + i, 100, idempotent))
+                .toList();
+        return new JobRequest(BATCH, specs, 0);
+    }
+
+    /** Collects the answers that one caller gets. */
+    static final class Caller implements java.util.function.Consumer<org.banyanspoke.api.job.JobAnswer> {
+        final List<org.banyanspoke.api.job.JobAnswer> answers = new ArrayList<>();
+
+        @Override
+        public void accept(org.banyanspoke.api.job.JobAnswer answer) {
+            answers.add(answer);
+        }
+
+        org.banyanspoke.api.job.JobAnswer only() {
+            if (answers.size() != 1) {
+                throw new AssertionError("expected one answer, got " + answers);
+            }
+            return answers.get(0);
+        }
+    }
+}
