--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/Main.java
@@ -0,0 +1,139 @@
+package org.banyanspoke.standins;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.banyanspoke.standins.backend.BackendFleet;
+import org.banyanspoke.standins.backend.Ledger;
+import org.banyanspoke.standins.backend.ServerOptions;
+import org.banyanspoke.standins.hostlist.HostListOptions;
+import org.banyanspoke.standins.hostlist.HostListStandin;
+import org.banyanspoke.standins.log.LogOptions;
+import org.banyanspoke.standins.log.LogStandin;
+import org.banyanspoke.standins.relay.RelayStandin;
+
+/** Runs one stand-in until the process is ended. Prints {@code ready} when it listens. */
+public final class Main {
+    private Main() {}
+
+    /** Starts the stand-in named by the arguments; see {@code --help}. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        ArgumentParser parser = parser();
+        Namespace arguments;
+        try {
+            arguments = parser.parseArgs(args);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(2);
+            return;
+        }
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(arguments.getInt("threads")));
+        try {
+            start(vertx, arguments);
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            System.exit(1);
+        }
+        System.out.println("ready");
+    }
+
+    private static void start(Vertx vertx, Namespace arguments) throws IOException, InterruptedException {
+        int port = arguments.getInt("port");
+        int controlPort = arguments.getInt("control_port");
+        switch (arguments.getString("standin")) {
+            case "log" -> Deployments.start(vertx, new LogStandin(LogOptions.DEFAULT, port, controlPort));
+            case "host-list" ->
+                Deployments.start(vertx, new HostListStandin(HostListOptions.DEFAULT, port, controlPort));
+            case "backend" -> Deployments.start(vertx, fleet(arguments, port, controlPort));
+            default -> Deployments.start(vertx, relay(arguments, controlPort));
+        }
+    }
+
+    private static BackendFleet fleet(Namespace arguments, int port, int controlPort) throws IOException {
+        String ledgerFile = arguments.getString("ledger");
+        Ledger ledger = new Ledger(ledgerFile == null ? null : Path.of(ledgerFile));
+        ServerOptions base = ServerOptions.DEFAULT;
+        List<ServerOptions> options = new ArrayList<>();
+        for (double speed : speeds(arguments)) {
+            options.add(new ServerOptions(
+                    arguments.getInt("slots"),
+                    arguments.getInt("connections"),
+                    speed,
+                    arguments.getBoolean("instant"),
+                    base.reportsLoad(),
+                    base.errorFraction(),
+                    base.failEverything(),
+                    base.failMillis(),
+                    base.stragglerFraction(),
+                    base.stragglerFactor(),
+                    false,
+                    false,
+                    false));
+        }
+        return new BackendFleet(options, port, controlPort, ledger, arguments.getLong("seed"));
+    }
+
+    private static List<Double> speeds(Namespace arguments) {
+        int count = arguments.getInt("count");
+        String text = arguments.getString("speeds");
+        if (text == null) {
+            return Collections.nCopies(count, 1.0);
+        }
+        List<Double> speeds =
+                Arrays.stream(text.split(",", -1)).map(Double::valueOf).toList();
+        if (speeds.size() != count) {
+            throw new IllegalArgumentException(
+                    "--speeds has " + speeds.size() + " values for --count " + count + " servers");
+        }
+        return speeds;
+    }
+
+    private static RelayStandin relay(Namespace arguments, int controlPort) {
+        List<RelayStandin.Route> routes = arguments.<String>getList("route").stream()
+                .map(RelayStandin.Route::parse)
+                .toList();
+        return new RelayStandin(routes, controlPort);
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser = ArgumentParsers.newFor("banyanspoke-standin")
+                .build()
+                .description("Simulators of the platform and the backend servers, on loopback.");
+        Subparsers standins = parser.addSubparsers().dest("standin");
+        addPorts(standins.addParser("log").help("the append-only log"));
+        addPorts(standins.addParser("host-list").help("the lagging list of hosts"));
+        addBackend(standins.addParser("backend").help("backend servers"));
+        Subparser relay = standins.addParser("relay").help("a TCP relay that can be cut");
+        addPorts(relay);
+        relay.addArgument("--route").nargs("+").required(true).metavar("PORT=IP:PORT");
+        return parser;
+    }
+
+    private static void addPorts(Subparser parser) {
+        parser.addArgument("--port").type(Integer.class).setDefault(0).help("port, or first port; 0 for a free one");
+        parser.addArgument("--control-port").type(Integer.class).required(true).help("port of the control routes");
+        parser.addArgument("--threads").type(Integer.class).setDefault(2).help("event loop threads");
+    }
+
+    private static void addBackend(Subparser parser) {
+        addPorts(parser);
+        parser.addArgument("--count").type(Integer.class).setDefault(1).help("number of servers");
+        parser.addArgument("--slots").type(Integer.class).setDefault(8);
+        parser.addArgument("--connections").type(Integer.class).setDefault(64);
+        parser.addArgument("--speeds").help("comma-separated speed of each server");
+        parser.addArgument("--instant").action(net.sourceforge.argparse4j.impl.Arguments.storeTrue());
+        parser.addArgument("--ledger").help("file for starts and finishes as JSON lines");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L);
+    }
+}
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendFleet.java
@@ -0,0 +1,130 @@
+package org.banyanspoke.standins.backend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.VerticleBase;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.standins.ControlServer;
+import org.banyanspoke.standins.Options;
+
+/**
+ * Backend servers {@code b0}, {@code b1} and so on in one process, with one ledger.
+ *
+ * <p>Control routes: {@code GET /options}; {@code POST /options?servers=0,2} with the fields of {@link ServerOptions}
+ * to change; {@code POST /silence?servers=0,2} makes the open connections silent; {@code GET /ledger} gives the
+ * {@link Ledger.Summary}; {@code GET /ledger/job?id=...} gives the starts of one job by task; {@code POST /flush}
+ * writes buffered lines of the ledger to its file. Without {@code servers}, a change concerns all.
+ */
+public final class BackendFleet extends VerticleBase {
+    private static final long FLUSH_PERIOD_MILLIS = 500;
+
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final Ledger ledger;
+    private final int controlPort;
+    private ControlServer control;
+
+    /**
+     * @param options properties and faults of each server at start
+     * @param basePort port of the first server, the others follow; 0 for free ports
+     * @param controlPort port of the control routes; 0 for a free one
+     * @param ledger records starts and finishes; closed with the fleet
+     * @param seed decides which tasks fail or straggle
+     */
+    public BackendFleet(List<ServerOptions> options, int basePort, int controlPort, Ledger ledger, long seed) {
+        this.ledger = ledger;
+        this.controlPort = controlPort;
+        for (int i = 0; i < options.size(); i++) {
+            int port = basePort == 0 ? 0 : basePort + i;
+            servers.add(new BackendServer(
+                    "b" + i,
+                    port,
+                    options.get(i),
+                    ledger,
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(seed + i)::nextDouble));
+        }
+    }
+
+    @Override
+    public Future<?> start() {
+        control = new ControlServer(vertx)
+                .get("/options", query -> optionsById())
+                .get("/ledger", query -> ledger.summary())
+                .get("/ledger/job", query -> ledger.startsOf(query.get("id")))
+                .post("/options", this::change)
+                .post("/silence", (query, body) -> onServers(query, BackendServer::silenceConnections))
+                .post("/flush", (query, body) -> flush());
+        vertx.setPeriodic(FLUSH_PERIOD_MILLIS, timer -> ledger.flush());
+        List<Future<?>> started = new ArrayList<>();
+        for (BackendServer server : servers) {
+            started.add(vertx.deployVerticle(server));
+        }
+        return Future.all(started).compose(all -> control.start(controlPort));
+    }
+
+    @Override
+    public Future<?> stop() throws Exception {
+        ledger.close();
+        return super.stop();
+    }
+
+    /** Returns the servers in the order of their ids. */
+    public List<BackendServer> servers() {
+        return List.copyOf(servers);
+    }
+
+    /** Returns the port of the control routes. */
+    public int controlPort() {
+        return control.port();
+    }
+
+    private Future<?> flush() {
+        ledger.flush();
+        return Future.succeededFuture(Map.of("flushed", true));
+    }
+
+    private Map<String, ServerOptions> optionsById() {
+        Map<String, ServerOptions> options = new TreeMap<>();
+        servers.forEach(server -> options.put(server.id(), server.options()));
+        return options;
+    }
+
+    private Future<?> change(MultiMap query, JsonNode patch) throws JsonProcessingException {
+        List<ServerOptions> checked = new ArrayList<>();
+        for (BackendServer server : selected(query)) {
+            checked.add(Options.patch(server.options(), patch, ServerOptions.class));
+        }
+        List<BackendServer> targets = selected(query);
+        List<Future<?>> changes = new ArrayList<>();
+        for (int i = 0; i < targets.size(); i++) {
+            ServerOptions next = checked.get(i);
+            changes.add(targets.get(i).change(before -> next));
+        }
+        return Future.all(changes).map(all -> optionsById());
+    }
+
+    private Future<?> onServers(MultiMap query, Function<BackendServer, Future<Integer>> action) {
+        List<Future<?>> actions = new ArrayList<>();
+        for (BackendServer server : selected(query)) {
+            actions.add(action.apply(server));
+        }
+        return Future.all(actions).map(all -> all.list());
+    }
+
+    private List<BackendServer> selected(MultiMap query) {
+        String text = query.get("servers");
+        if (text == null) {
+            return servers;
+        }
+        return Arrays.stream(text.split(",", -1))
+                .map(index -> servers.get(Integer.parseInt(index)))
+                .toList();
+    }
+}
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/TaskPayload.java
@@ -0,0 +1,43 @@
+package org.banyanspoke.standins.backend;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+
+/**
+ * What a payload asks a backend server to do: {@code {"runMillis": 200, "fail": false}}. Other fields are skipped.
+ *
+ * @param runMillis run time at speed 1 in milliseconds; 0 if the payload names none
+ * @param fail whether the task fails at the end of its run time
+ */
+public record TaskPayload(double runMillis, boolean fail) {
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final TaskPayload EMPTY = new TaskPayload(0, false);
+
+    /** Reads a payload. A text that is not a JSON object runs for 0 ms. */
+    public static TaskPayload parse(String text) {
+        if (!text.startsWith("{")) {
+            return EMPTY;
+        }
+        double runMillis = 0;
+        boolean fail = false;
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            parser.nextToken();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (name.equals("runMillis") && value.isNumeric()) {
+                    runMillis = parser.getDoubleValue();
+                } else if (name.equals("fail")) {
+                    fail = value == JsonToken.VALUE_TRUE;
+                } else {
+                    parser.skipChildren();
+                }
+            }
+        } catch (IOException e) {
+            return EMPTY;
+        }
+        return new TaskPayload(runMillis, fail);
+    }
+}
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers and the ledger of what they started. */
+package org.banyanspoke.standins.backend;
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/hostlist/HostListStandin.java
@@ -0,0 +1,105 @@
+package org.banyanspoke.standins.hostlist;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.standins.ControlServer;
+import org.banyanspoke.standins.Exchanges;
+import org.banyanspoke.standins.Options;
+
+/**
+ * The platform's list of live and leaving hosts, which lags behind.
+ *
+ * <p>Control routes: {@code GET /options}, {@code POST /options} with the fields of {@link HostListOptions} to change,
+ * {@code POST /hosts} with the whole new list {@code {"hosts": [...]}}, {@code GET /counts}.
+ */
+public final class HostListStandin extends VerticleBase {
+    private record View(List<ListedHost> hosts) {
+        View {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /**
+     * Requests received.
+     *
+     * @param reads read requests
+     */
+    public record Counts(long reads) {}
+
+    private final int port;
+    private final int controlPort;
+    /** Views by the monotonic time at which they were set, in nanoseconds since the start. */
+    private final NavigableMap<Long, View> views = new TreeMap<>();
+
+    private final long startNanos = System.nanoTime();
+    private HostListOptions options;
+    private long reads;
+    private HttpServer server;
+    private ControlServer control;
+
+    /**
+     * @param options faults at start
+     * @param port port of the list; 0 for a free one
+     * @param controlPort port of the control routes; 0 for a free one
+     */
+    public HostListStandin(HostListOptions options, int port, int controlPort) {
+        this.options = options;
+        this.port = port;
+        this.controlPort = controlPort;
+        views.put(Long.MIN_VALUE, new View(List.of()));
+    }
+
+    @Override
+    public Future<?> start() {
+        control = new ControlServer(vertx)
+                .get("/options", query -> options)
+                .get("/counts", query -> new Counts(reads))
+                .post("/options", (query, body) -> change(body))
+                .post("/hosts", (query, body) -> setHosts(body));
+        server = vertx.createHttpServer().requestHandler(this::handle);
+        return server.listen(port, "127.0.0.1").compose(listening -> control.start(controlPort));
+    }
+
+    /** Returns the port of the list. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Returns the port of the control routes. */
+    public int controlPort() {
+        return control.port();
+    }
+
+    private Future<HostListOptions> change(JsonNode patch) throws JsonProcessingException {
+        options = Options.patch(options, patch, HostListOptions.class);
+        return Future.succeededFuture(options);
+    }
+
+    private Future<View> setHosts(JsonNode body) throws JsonProcessingException {
+        View view = Json.mapper().treeToValue(body, View.class);
+        views.put(elapsedNanos(), view);
+        return Future.succeededFuture(view);
+    }
+
+    private void handle(HttpServerRequest request) {
+        reads++;
+        if (options.outage()) {
+            Exchanges.ignore(request.connection().close());
+            return;
+        }
+        long asOfNanos = elapsedNanos() - options.lagMillis() * 1_000_000;
+        ControlServer.respond(request, 200, views.floorEntry(asOfNanos).getValue());
+    }
+
+    private long elapsedNanos() {
+        return System.nanoTime() - startNanos;
+    }
+}
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/hostlist/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's lagging list of hosts. */
+package org.banyanspoke.standins.hostlist;
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/log/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's append-only log. */
+package org.banyanspoke.standins.log;
--- /dev/null
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/relay/package-info.java
@@ -0,0 +1,2 @@
+/** A TCP relay that can be cut. */
+package org.banyanspoke.standins.relay;
