--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -1,22 +1,85 @@
 package org.banyanspoke.daemon;
 
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.security.SecureRandom;
+import java.time.Clock;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.dispatch.DispatchEvents;
+import org.banyanspoke.core.dispatch.Dispatcher;
+import org.banyanspoke.core.dispatch.DispatcherSettings;
+import org.banyanspoke.core.dispatch.Dispatchers;
+import org.banyanspoke.core.dispatch.TaskTransport;
+import org.banyanspoke.core.identity.ProcessIdentity;
+import org.banyanspoke.core.quota.QuotaLendings;
+import org.banyanspoke.core.routing.ServerPools;
+import org.banyanspoke.core.schedule.TaskQueues;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.daemon.backend.BackendClient;
+import org.banyanspoke.daemon.control.ControlService;
+import org.banyanspoke.daemon.http.HostStatus;
+import org.banyanspoke.daemon.http.HttpService;
+import org.banyanspoke.daemon.http.HttpServices;
+import org.banyanspoke.daemon.jobs.DispatchService;
+import org.banyanspoke.daemon.jobs.DispatchThread;
 import org.banyanspoke.daemon.logging.EventLog;
+import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.platform.HttpLogClient;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.jboss.logging.Logger;
 
-/** One entry host process: registers the services, starts them and waits for the planned stop. */
-final class Daemon {
+/** One entry host process: creates and registers the services, starts them and waits for the planned stop. */
+final class Daemon implements HostStatus {
+    private static final int JOB_ID_KEY_BYTES = 32;
+
+    /** One core parses requests for each core that dispatches, up to the point where the dispatch thread is the limit. */
+    private static final int MAX_CALLER_LOOPS = 3;
+
     private static final EventLog LOG = EventLog.of(Daemon.class);
 
     private final Settings settings;
+    private final ProcessIdentity identity;
+    private final byte[] jobIdKey = new byte[JOB_ID_KEY_BYTES];
+    private final MonotonicClock clock = System::nanoTime;
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     private final Kernel kernel = new Kernel();
+    private final int callerLoops =
+            Math.max(1, Math.min(MAX_CALLER_LOOPS, Runtime.getRuntime().availableProcessors() - 1));
+    private final Vertx trafficVertx = vertx(callerLoops + 1);
+    private final Vertx dispatchVertx = vertx(1);
+
+    private final ControlService control;
+    private final DispatchService dispatch;
+    private final HttpService callers;
+    private final HostGate gate;
+    private final DrainCoordinator drain;
 
     Daemon(Settings settings) {
         this.settings = settings;
+        SecureRandom secureRandom = new SecureRandom();
+        secureRandom.nextBytes(jobIdKey);
+        this.identity = new ProcessIdentity(
+                settings.host().id(), settings.peer().address().toString(), new Incarnation(secureRandom.nextLong()));
+        DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
+        this.control = createControl();
+        this.gate = new HostGate(control::readiness);
+        this.dispatch = createDispatch(new DispatchLog(metrics, control));
+        this.drain = new DrainCoordinator(
+                trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, Future::succeededFuture);
+        this.callers =
+                HttpServices.callers(trafficVertx, settings.callers(), callerLoops, control, dispatch, this, metrics);
+        register(metrics);
     }
 
-    /** Runs until the planned stop has ended. */
+    /** Starts, runs until the planned stop has ended, and stops. Called once. */
     ExitCode run() {
         try {
             kernel.start();
@@ -24,10 +87,123 @@
             LOG.event(Logger.Level.ERROR, "start failed").cause(e).write();
             return ExitCode.START_FAILED;
         }
+        Thread main = Thread.currentThread();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnSignal(main), "planned-stop"));
         LOG.event(Logger.Level.INFO, "started")
-                .with("callers", settings.callers().address())
+                .with("callersPort", callers.port())
+                .with("incarnation", identity.incarnation())
                 .write();
+        return awaitPlannedStop();
+    }
+
+    @Override
+    public HostId host() {
+        return identity.host();
+    }
+
+    @Override
+    public ZoneId zone() {
+        return settings.host().zone();
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return identity.incarnation();
+    }
+
+    @Override
+    public boolean ready() {
+        return !draining() && control.readiness().ready();
+    }
+
+    @Override
+    public boolean draining() {
+        return drain.isRequested();
+    }
+
+    @Override
+    public void requestDrain() {
+        drain.request();
+    }
+
+    private ControlService createControl() {
+        io.vertx.rxjava3.core.Vertx rxVertx = io.vertx.rxjava3.core.Vertx.newInstance(trafficVertx);
+        return new ControlService(
+                new HttpLogClient(rxVertx, settings.logAddress().toString()), clock);
+    }
+
+    private DispatchService createDispatch(DispatchEvents events) {
+        DispatchThread thread = new DispatchThread(dispatchVertx.getOrCreateContext());
+        BackendClient backend = new BackendClient(dispatchVertx, thread.context(), clock);
+        return new DispatchService(dispatchVertx, thread, backend, this::createDispatcher, gate, events);
+    }
+
+    private Dispatcher createDispatcher(TaskTransport transport, DispatchEvents events) {
+        boolean adaptive = settings.policy() == Settings.Policy.ADAPTIVE;
+        return Dispatchers.create(
+                identity,
+                jobIdKey,
+                clock,
+                Clock.systemUTC(),
+                adaptive ? TaskQueues.fairShare(clock) : Dispatchers.baselineQueue(),
+                adaptive ? ServerPools.adaptive(identity.host(), clock, random) : Dispatchers.baselinePool(random),
+                transport,
+                events,
+                DispatcherSettings.DEFAULT);
+    }
+
+    private void register(DaemonMetrics metrics) {
+        kernel.register(DispatchService.NAME, dispatch);
+        kernel.register(ControlService.NAME, control);
+        UniformRandomProvider quotaRandom = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        kernel.register(
+                ConfigLink.NAME,
+                new ConfigLink(control, dispatch, QuotaLendings.halfOfUnused(host(), clock, quotaRandom)));
+        kernel.register(HttpServices.CALLERS, callers);
+        kernel.register(
+                HttpServices.ADMIN, HttpServices.admin(trafficVertx, settings, this, control, dispatch, metrics));
+    }
+
+    private Future<Void> refuseNewWork() {
+        gate.startDraining();
+        return dispatch.drain();
+    }
+
+    private ExitCode awaitPlannedStop() {
+        try {
+            drain.awaitEnd();
+            callers.awaitAnswers();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.STOP_FAILED;
+        }
         kernel.stop();
-        return ExitCode.OK;
+        trafficVertx.close().onFailure(Daemon::logCloseFailure);
+        LOG.event(Logger.Level.INFO, "stopped").write();
+        return drain.hasFailed() ? ExitCode.STOP_FAILED : ExitCode.OK;
+    }
+
+    private static void logCloseFailure(Throwable e) {
+        LOG.event(Logger.Level.WARN, "event loops did not close").cause(e).write();
+    }
+
+    /**
+     * Runs in a shutdown hook, that is on SIGTERM. Waits for the main thread, which ends the process with its own exit code;
+     * a return from here would end it with 143. A second SIGTERM has no effect.
+     */
+    private void stopOnSignal(Thread main) {
+        drain.request();
+        try {
+            main.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Entry hosts have no disk, so the file cache of Vert.x stays off. */
+    private static Vertx vertx(int eventLoops) {
+        FileSystemOptions noFiles =
+                new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false);
+        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(eventLoops).setFileSystemOptions(noFiles));
     }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/DrainCoordinator.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/DrainCoordinator.java
@@ -5,9 +5,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
-import org.banyanspoke.api.errors.ErrorKind;
-import org.banyanspoke.api.errors.RefusedException;
-import org.banyanspoke.daemon.http.WorkGate;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.jboss.logging.Logger;
 
@@ -15,8 +12,7 @@
  * The planned stop (design 2.6): readiness 503, notice time, refusal of new work, end of the running jobs, handover of the
  * records. A second request changes nothing. Thread safe.
  */
-final class DrainCoordinator implements WorkGate {
-    private static final long RETRY_MILLIS = 1_000;
+final class DrainCoordinator {
     private static final EventLog LOG = EventLog.of(DrainCoordinator.class);
 
     private final Vertx vertx;
@@ -25,7 +21,6 @@
     private final Supplier<Future<Void>> handOver;
     private final AtomicBoolean requested = new AtomicBoolean();
     private final CountDownLatch ended = new CountDownLatch(1);
-    private volatile boolean refusing;
     private volatile boolean failed;
 
     /**
@@ -70,15 +65,7 @@
         ended.await();
     }
 
-    @Override
-    public void check() throws RefusedException {
-        if (refusing) {
-            throw new RefusedException(ErrorKind.DRAINING, "this host is stopping; use another one", RETRY_MILLIS);
-        }
-    }
-
     private Future<Void> refuseAndFinish() {
-        refusing = true;
         LOG.event(Logger.Level.INFO, "planned stop: new work is refused").write();
         return finishJobs.get();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
@@ -27,18 +27,15 @@
 
     private final TeamAuthenticator authenticator;
     private final LocalJobs jobs;
-    private final WorkGate gate;
     private final BooleanSupplier ready;
 
     /**
      * @param jobs jobs of this host and, by forwarding, of others
-     * @param gate checked before new work
      * @param ready what the readiness route reports
      */
-    CallerRoutes(TeamAuthenticator authenticator, LocalJobs jobs, WorkGate gate, BooleanSupplier ready) {
+    CallerRoutes(TeamAuthenticator authenticator, LocalJobs jobs, BooleanSupplier ready) {
         this.authenticator = authenticator;
         this.jobs = jobs;
-        this.gate = gate;
         this.ready = ready;
     }
 
@@ -68,7 +65,6 @@
     }
 
     private Future<HttpAnswer> reserve(HttpCall call) throws DispatchException {
-        gate.check();
         Integer count = JobBody.parse(call.body(), ReserveRequest.class).count();
         if (count == null || count < 1 || count > MAX_IDS) {
             throw new DispatchException(
@@ -78,12 +74,10 @@
     }
 
     private Future<HttpAnswer> submitNew(HttpCall call) throws DispatchException {
-        gate.check();
         JobBody body = JobBody.parse(call.body());
         return jobs.submitNew(team(call), body, call.flag("wait", true)).map(CallerRoutes::submitted);
     }
 
-    /** The gate is not checked here: a resubmission is answered while the host drains; the dispatcher refuses new work. */
     private Future<HttpAnswer> submit(HttpCall call) throws DispatchException {
         JobId jobId = jobId(call);
         JobBody body = JobBody.parse(call.body());
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.kernel.Kernel;
@@ -18,10 +19,16 @@
 public final class HttpService implements Service {
     private static final long TIMEOUT_SECONDS = 10;
 
+    /** A large response to a slow caller may take seconds; a caller that stopped reading must not block the stop. */
+    private static final long ANSWERS_TIMEOUT_MILLIS = 10_000;
+
+    private static final long POLL_MILLIS = 10;
+
     private final Vertx vertx;
     private final Options options;
     private final Consumer<RouteTable> routes;
     private final Consumer<ErrorKind> onError;
+    private final AtomicInteger inProgress = new AtomicInteger();
     private volatile int port;
     private String deploymentId;
 
@@ -56,6 +63,14 @@
         vertx.undeploy(deploymentId).toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Waits until every request has its complete response, at most {@value #ANSWERS_TIMEOUT_MILLIS} ms. */
+    public void awaitAnswers() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWERS_TIMEOUT_MILLIS);
+        while (inProgress.get() > 0 && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
     /** Returns the port it listens on. */
     public int port() {
         return port;
@@ -68,7 +83,7 @@
             Router router = Router.router(vertx);
             AnswerWriter answers = new AnswerWriter(vertx, onError);
             BodyReader bodies = new BodyReader(vertx, options.maxBodyBytes(), options.bodyTimeoutMillis());
-            routes.accept(new RouteTable(router, bodies, answers));
+            routes.accept(new RouteTable(router, bodies, answers, inProgress));
             HttpServerOptions serverOptions = new HttpServerOptions()
                     .setHost(options.address().getHost())
                     .setPort(options.address().getPort())
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
@@ -23,7 +23,6 @@
      *
      * @param eventLoops event loops that parse requests
      * @param jobs jobs of this host and, by forwarding, of others
-     * @param gate checked before new work
      */
     public static HttpService callers(
             Vertx vertx,
@@ -31,12 +30,11 @@
             int eventLoops,
             ControlPlane control,
             LocalJobs jobs,
-            WorkGate gate,
             HostStatus host,
             DaemonMetrics metrics) {
         HttpService.Options options = new HttpService.Options(
                 settings.address(), eventLoops, settings.maxBodyBytes(), settings.bodyTimeoutMillis());
-        CallerRoutes routes = new CallerRoutes(new TeamAuthenticator(control::config), jobs, gate, host::ready);
+        CallerRoutes routes = new CallerRoutes(new TeamAuthenticator(control::config), jobs, host::ready);
         return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
     }
 
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
 
@@ -18,6 +19,7 @@
     private final Router router;
     private final BodyReader bodies;
     private final AnswerWriter answers;
+    private final AtomicInteger inProgress;
 
     /** Checks the caller before the body is read. */
     @FunctionalInterface
@@ -33,10 +35,14 @@
         Future<HttpAnswer> run(HttpCall call) throws DispatchException;
     }
 
-    RouteTable(Router router, BodyReader bodies, AnswerWriter answers) {
+    /**
+     * @param inProgress counts requests that have no complete response yet
+     */
+    RouteTable(Router router, BodyReader bodies, AnswerWriter answers, AtomicInteger inProgress) {
         this.router = router;
         this.bodies = bodies;
         this.answers = answers;
+        this.inProgress = inProgress;
         router.errorHandler(NOT_FOUND, context -> fail(context, ErrorKind.UNKNOWN_ROUTE, "no such route"));
         router.errorHandler(
                 METHOD_NOT_ALLOWED,
@@ -57,6 +63,8 @@
 
     private void handle(RoutingContext context, Guard guard, Action action, boolean hasBody) {
         HttpServerRequest request = context.request();
+        inProgress.incrementAndGet();
+        context.addEndHandler(unused -> inProgress.decrementAndGet());
         try {
             guard.check(context);
             Future<byte[]> body = hasBody ? bodies.read(request) : Future.succeededFuture(NO_BODY);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
@@ -10,6 +10,8 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.RefusedException;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.api.job.JobAnswer;
@@ -40,6 +42,7 @@
     private final DispatchThread thread;
     private final BackendClient backend;
     private final Dispatcher dispatcher;
+    private final WorkGate gate;
     /** Callers that wait for the end of a running job by polling. Dispatch thread only. */
     private final ListMultimap<JobId, Consumer<JobAnswer>> waiters = ArrayListMultimap.create();
 
@@ -50,6 +53,7 @@
      * @param thread the dispatch thread
      * @param backend the client; its tick and end are driven from here
      * @param factory creates the dispatcher over the client
+     * @param gate checked on the dispatch thread before new work
      * @param events receives what the dispatcher does
      */
     public DispatchService(
@@ -57,10 +61,12 @@
             DispatchThread thread,
             BackendClient backend,
             DispatcherFactory factory,
+            WorkGate gate,
             DispatchEvents events) {
         this.vertx = vertx;
         this.thread = thread;
         this.backend = backend;
+        this.gate = gate;
         this.dispatcher = factory.create(backend, events);
     }
 
@@ -107,7 +113,10 @@
 
     @Override
     public Future<List<JobId>> reserve(TeamId team, int count) {
-        return thread.call(() -> dispatcher.reserve(team, count));
+        return thread.call(() -> {
+            gate.check();
+            return dispatcher.reserve(team, count);
+        });
     }
 
     @Override
@@ -118,6 +127,7 @@
     @Override
     public Future<JobAnswer> submitNew(TeamId team, JobBody body, boolean wait) {
         return thread.callAsync(promise -> {
+            gate.check();
             JobId jobId = dispatcher.reserve(team, 1).get(0);
             submit(team, jobId, body, wait, promise);
         });
@@ -142,6 +152,7 @@
 
     private void submit(TeamId team, JobId jobId, JobBody body, boolean wait, Promise<JobAnswer> promise)
             throws DispatchException {
+        checkGateUnlessKnown(team, jobId);
         Submission submission = new Submission(team, jobId, body.request(), body.digest());
         dispatcher.submit(submission, answer -> {
             promise.tryComplete(answer);
@@ -152,6 +163,23 @@
         }
     }
 
+    /** A resubmission is answered even when the host takes no new work. */
+    private void checkGateUnlessKnown(TeamId team, JobId jobId) throws DispatchException {
+        try {
+            gate.check();
+        } catch (RefusedException refusal) {
+            requireKnown(team, jobId, refusal);
+        }
+    }
+
+    private void requireKnown(TeamId team, JobId jobId, RefusedException refusal) throws DispatchException {
+        try {
+            dispatcher.status(team, jobId);
+        } catch (DispatchException e) {
+            throw e.kind() == ErrorKind.UNKNOWN_JOB ? refusal : e;
+        }
+    }
+
     /** Every job of this process was submitted through this class, so its end reaches the waiters. */
     private void awaitEnd(TeamId team, JobId jobId, long waitMillis, Promise<JobAnswer> promise) {
         Consumer<JobAnswer> waiter = promise::tryComplete;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/WorkGate.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/WorkGate.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.http;
+package org.banyanspoke.daemon.jobs;
 
 import org.banyanspoke.api.errors.RefusedException;
 
