--- /dev/null
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FramePipeline.java
@@ -0,0 +1,27 @@
+package org.banyanspoke.peer.internal;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import org.banyanspoke.peer.TransportLimits;
+import org.banyanspoke.peer.generated.Frame;
+
+/** Handlers of every connection: 4-byte length prefix, protobuf, then the connection itself. */
+public final class FramePipeline {
+    private static final int PREFIX_BYTES = 4;
+
+    private FramePipeline() {}
+
+    /** Adds the handlers. A frame above the limit makes the decoder throw, and the connection closes. */
+    public static void init(SocketChannel channel, TransportLimits limits, ChannelHandler connection) {
+        channel.pipeline()
+                .addLast(new LengthFieldBasedFrameDecoder(limits.maxFrameBytes(), 0, PREFIX_BYTES, 0, PREFIX_BYTES))
+                .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+                .addLast(new LengthFieldPrepender(PREFIX_BYTES))
+                .addLast(new ProtobufEncoder())
+                .addLast(connection);
+    }
+}
--- /dev/null
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry hosts: transport and errors. */
+package org.banyanspoke.peer;
