--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/quota/QuotaLendingTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/quota/QuotaLendingTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -43,7 +44,7 @@
         return new HostId("h" + number);
     }
 
-    @Nested
+    @Group
     class Roster {
         /** Guards against rounding that gives out more or less than the quota. */
         @Property(tries = 200, seed = "1")
@@ -230,7 +231,7 @@
         return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     }
 
-    @Nested
+    @Group
     class Faults {
         /** Guards against a sum above the quota under loss, delay, repetition and pauses. */
         @Property(tries = 200, seed = "2")
