--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/TaskSender.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/TaskSender.java
@@ -79,10 +79,10 @@
     void sendWaiting() {
         long nowNanos = clock.nanos();
         sendHeld(nowNanos);
-        Optional<QueuedTask> next = queue.poll(task -> isSendable(task, nowNanos));
-        while (next.isPresent()) {
-            sendPolled(next.get(), nowNanos);
-            next = queue.poll(task -> isSendable(task, nowNanos));
+        boolean sent = true;
+        while (sent) {
+            Optional<QueuedTask> next = queue.poll(task -> isSendable(task, nowNanos));
+            sent = next.isPresent() && sendPolled(next.get(), nowNanos);
         }
     }
 
@@ -122,11 +122,17 @@
         return candidateServer != null;
     }
 
-    private void sendPolled(QueuedTask task, long nowNanos) {
+    /**
+     * Sends a task that the queue chose. The queue may know of another task of its batch only that it is sendable; if this
+     * one is not (a server on probation takes idempotent tasks only), it goes back.
+     */
+    private boolean sendPolled(QueuedTask task, long nowNanos) {
         if (!isCandidate(task) && !isSendable(task, nowNanos)) {
-            throw new IllegalStateException("the queue returned a task that cannot be sent");
+            queue.add(task);
+            return false;
         }
         send(jobs.get(task.job()), task, candidateServer, nowNanos);
+        return true;
     }
 
     private boolean isCandidate(QueuedTask task) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/internal/AnswerSizes.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/internal/AnswerSizes.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.core.identity.internal;
 
+import java.util.List;
 import org.banyanspoke.api.job.JobAnswer;
 import org.banyanspoke.api.job.TaskAnswer;
 
@@ -21,4 +22,9 @@
         }
         return bytes;
     }
+
+    /** Returns the answer with its state, error and counts only. */
+    public static JobAnswer withoutResults(JobAnswer answer) {
+        return new JobAnswer(answer.jobId(), answer.state(), answer.error(), answer.counts(), List.of());
+    }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/package-info.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/package-info.java
@@ -1,2 +1,2 @@
-/** Implementations of the package above. */
+/** Implementations of the server pool. */
 package org.banyanspoke.core.routing.internal;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/package-info.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/package-info.java
@@ -1,2 +1,2 @@
-/** Implementations of the package above. */
+/** Implementations of the task queue. */
 package org.banyanspoke.core.schedule.internal;
