--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ForwardRequest.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ForwardRequest.java
@@ -10,10 +10,11 @@
  * @param team the authenticated team
  * @param jobId the job
  * @param body JSON of the job request as received; empty unless the action is a submission
- * @param wait for a submission: whether to reply only when the job has ended
+ * @param waitForEnd for a submission: whether to reply only when the job has ended
  * @param waitMillis for a status: how long to wait for the end of the job, in milliseconds
  */
-public record ForwardRequest(Action action, TeamId team, JobId jobId, byte[] body, boolean wait, long waitMillis) {
+public record ForwardRequest(
+        Action action, TeamId team, JobId jobId, byte[] body, boolean waitForEnd, long waitMillis) {
     /** What the caller wants. */
     public enum Action {
         /** Submit the job or attach to it. */
