--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/Main.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/Main.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -45,9 +46,19 @@
             System.err.println(e.getMessage());
             System.exit(1);
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> close(vertx), "close"));
         System.out.println("ready");
     }
 
+    /** Undeploys the stand-in, which writes the last lines of a ledger. */
+    private static void close(Vertx vertx) {
+        try {
+            Deployments.await(vertx.close());
+        } catch (IOException | InterruptedException e) {
+            System.err.println("close failed: " + e.getMessage());
+        }
+    }
+
     private static void start(Vertx vertx, Namespace arguments) throws IOException, InterruptedException {
         int port = arguments.getInt("port");
         int controlPort = arguments.getInt("control_port");
@@ -132,7 +143,7 @@
         parser.addArgument("--slots").type(Integer.class).setDefault(8);
         parser.addArgument("--connections").type(Integer.class).setDefault(64);
         parser.addArgument("--speeds").help("comma-separated speed of each server");
-        parser.addArgument("--instant").action(net.sourceforge.argparse4j.impl.Arguments.storeTrue());
+        parser.addArgument("--instant").action(Arguments.storeTrue());
         parser.addArgument("--ledger").help("file for starts and finishes as JSON lines");
         parser.addArgument("--seed").type(Long.class).setDefault(1L);
     }
--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendServer.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendServer.java
@@ -116,7 +116,7 @@
     private Future<?> listen(int listeningPort) {
         executor.renew();
         server = vertx.createHttpServer(
-                        new HttpServerOptions().setTcpNoDelay(true).setAcceptBacklog(1_024))
+                        new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1_024))
                 .connectionHandler(this::accept)
                 .requestHandler(this::receive);
         return server.listen(listeningPort, "127.0.0.1").onSuccess(s -> actualPort = s.actualPort());
--- /dev/null
+++ b/banyanspoke-standins/src/test/java/org/banyanspoke/standins/HttpProbe.java
@@ -0,0 +1,53 @@
+package org.banyanspoke.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.banyanspoke.api.json.Json;
+
+/** HTTP requests of the tests. */
+public final class HttpProbe {
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    public HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
+        return client.send(request(port, path).GET().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    public JsonNode json(int port, String path) throws IOException, InterruptedException {
+        return Json.mapper().readTree(get(port, path).body());
+    }
+
+    public HttpResponse<String> post(int port, String path, String body) throws IOException, InterruptedException {
+        return client.send(posting(port, path, body).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    public HttpResponse<String> delete(int port, String path) throws IOException, InterruptedException {
+        return client.send(request(port, path).DELETE().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Starts a task; {@code headers} are further names and values. */
+    public CompletableFuture<HttpResponse<String>> task(int port, String attempt, String body, String... headers) {
+        HttpRequest.Builder request = posting(port, "/tasks/" + attempt, body)
+                .header("Task-Id", "t-" + attempt)
+                .header("Job-Id", "j");
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static HttpRequest.Builder posting(int port, String path, String body) {
+        return request(port, path).POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    private static HttpRequest.Builder request(int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(5));
+    }
+}
