--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -0,0 +1,110 @@
+package org.banyanspoke.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.HdrHistogram.Histogram;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.bench.internal.RatioPlot;
+
+/** The bench on the command line. The last line of its output is one JSON object. */
+public final class Main {
+    /** Covers the compilation of the hot paths of a new JVM and the first learning of server speeds. */
+    private static final double WARMUP_SECONDS = 5;
+
+    private Main() {}
+
+    /** Runs the scenario named by the arguments; see {@code --help}. Exits with 1 if the run fails. */
+    public static void main(String[] args) throws InterruptedException {
+        ArgumentParser parser = parser();
+        try {
+            run(parser.parseArgs(args));
+            System.exit(0);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(2);
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("run failed: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void run(Namespace arguments) throws IOException, InterruptedException {
+        BenchOptions options = options(arguments);
+        List<Report> reports = new ArrayList<>();
+        Histogram ratios = new Histogram(3);
+        for (int i = 0; i < arguments.getInt("repeat"); i++) {
+            BenchRun run = new BenchRun(options.withSeed(options.seed() + i));
+            Report report = run.call();
+            System.out.println(text(report));
+            reports.add(report);
+            ratios.add(run.ratios());
+        }
+        Object result = reports.size() == 1 ? reports.get(0) : Spread.of(reports);
+        if (reports.size() > 1) {
+            System.out.println(text(result));
+        }
+        write(arguments, result, ratios);
+    }
+
+    private static void write(Namespace arguments, Object result, Histogram ratios) throws IOException {
+        if (arguments.getString("json") != null) {
+            Files.writeString(Path.of(arguments.getString("json")), text(result) + "\n");
+        }
+        if (arguments.getString("plot") != null) {
+            RatioPlot.write(ratios, arguments.getString("scenario"), Path.of(arguments.getString("plot")));
+        }
+    }
+
+    private static String text(Object result) throws JsonProcessingException {
+        return Json.mapper().writeValueAsString(result);
+    }
+
+    private static BenchOptions options(Namespace arguments) {
+        Shape shape = Shape.valueOf(arguments.getString("shape").toUpperCase(Locale.ROOT));
+        Map<String, Scenario> scenarios = Scenarios.all(shape);
+        Scenario scenario = scenarios.get(arguments.getString("scenario"));
+        if (scenario == null) {
+            throw new IllegalArgumentException("no scenario \"" + arguments.getString("scenario") + "\", there are "
+                    + String.join(", ", scenarios.keySet()));
+        }
+        Double seconds = arguments.getDouble("seconds");
+        return new BenchOptions(
+                Path.of(System.getProperty("banyanspoke.home", ".")),
+                scenario,
+                shape,
+                arguments.getString("policy"),
+                arguments.getLong("seed"),
+                seconds == null ? scenario.seconds() : seconds,
+                WARMUP_SECONDS,
+                arguments.getDouble("scale"));
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser = ArgumentParsers.newFor("bench")
+                .build()
+                .description("Measures entry hosts as processes under open-loop load; see docs/bench.md.");
+        parser.addArgument("--scenario").required(true).help("scenario name");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("decides arrivals and faults");
+        parser.addArgument("--seconds").type(Double.class).help("measured time; default depends on the scenario");
+        parser.addArgument("--shape").choices("kilima", "daugava").setDefault("kilima");
+        parser.addArgument("--policy").choices("adaptive", "baseline").setDefault("adaptive");
+        parser.addArgument("--scale")
+                .type(Double.class)
+                .setDefault(0.333)
+                .help("hosts and servers relative to the site");
+        parser.addArgument("--repeat").type(Integer.class).setDefault(1).help("runs with consecutive seeds");
+        parser.addArgument("--json").help("file for the result");
+        parser.addArgument("--plot").help("PNG file for the response ratio by percentile");
+        return parser;
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Scenarios.java
@@ -0,0 +1,139 @@
+package org.banyanspoke.bench;
+
+import static org.banyanspoke.api.config.UrgencyClass.BACKGROUND;
+import static org.banyanspoke.api.config.UrgencyClass.NORMAL;
+import static org.banyanspoke.api.config.UrgencyClass.URGENT;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.banyanspoke.bench.FaultAction.Kind;
+import org.banyanspoke.bench.FaultAction.Target;
+
+/** The scenarios by name; docs/bench.md describes them. */
+public final class Scenarios {
+    private static final int SECONDS = 12;
+    /** Notice (2 s), longest tasks (4 s) and start of 3 or 4 hosts one after the other. */
+    private static final int ROLLING_RESTART_SECONDS = 40;
+
+    private static final long URGENT_PROMISE_MILLIS = 10_000;
+    private static final long NORMAL_PROMISE_MILLIS = 15_000;
+    private static final long BACKGROUND_PROMISE_MILLIS = 20_000;
+
+    private Scenarios() {}
+
+    /** Returns all scenarios of a shape by name. */
+    public static Map<String, Scenario> all(Shape shape) {
+        Map<String, Scenario> all = new TreeMap<>();
+        for (Scenario scenario : list(shape)) {
+            all.put(scenario.name(), scenario);
+        }
+        return all;
+    }
+
+    private static List<Scenario> list(Shape shape) {
+        List<Load> at80 = mix(shape, 0.8);
+        List<Scenario> list = new ArrayList<>();
+        list.add(equal("steady50", mix(shape, 0.5)));
+        list.add(equal("steady80", at80));
+        list.add(equal("steady95", mix(shape, 0.95)));
+        list.add(new Scenario("unequal80", SECONDS, 0, 4, 10, true, false, false, at80, List.of()));
+        list.addAll(serverFaults(at80));
+        list.addAll(floods());
+        list.addAll(losses(shape));
+        list.add(new Scenario(
+                "rolling-restart",
+                ROLLING_RESTART_SECONDS,
+                0,
+                1,
+                1,
+                false,
+                false,
+                false,
+                at80,
+                List.of(FaultAction.of(0.02, Kind.ROLLING_RESTART, Target.ALL))));
+        list.add(throughput());
+        return list;
+    }
+
+    private static List<Scenario> serverFaults(List<Load> at80) {
+        FaultAction stragglers = servers(0, Target.ALL, Map.of("stragglerFraction", 0.02, "stragglerFactor", 10));
+        return List.of(
+                equal("stragglers", at80, stragglers),
+                equal("failing-server", at80, servers(0.2, Target.FIRST, Map.of("failEverything", true))),
+                equal("silent-connection", at80, FaultAction.of(0.2, Kind.SILENCE, Target.FIRST)));
+    }
+
+    private static List<Scenario> floods() {
+        return List.of(
+                equal(
+                        "flood-low",
+                        List.of(
+                                Load.steady("urgent", URGENT, 0.4, URGENT_PROMISE_MILLIS),
+                                Load.steady("normal", NORMAL, 0.25, NORMAL_PROMISE_MILLIS),
+                                Load.flood("flood", BACKGROUND, 10, 0))),
+                equal(
+                        "flood-urgent",
+                        List.of(
+                                Load.steady("normal", NORMAL, 0.25, NORMAL_PROMISE_MILLIS),
+                                Load.steady("background", BACKGROUND, 0.15, BACKGROUND_PROMISE_MILLIS),
+                                Load.flood("flood", URGENT, 10, 0))),
+                equal(
+                        "flood-team",
+                        List.of(
+                                Load.steady("urgent", URGENT, 0.25, URGENT_PROMISE_MILLIS),
+                                Load.steady("normal", NORMAL, 0.25, NORMAL_PROMISE_MILLIS),
+                                Load.flood("flood", URGENT, 2, 0.1))));
+    }
+
+    private static List<Scenario> losses(Shape shape) {
+        List<Load> at50 = mix(shape, 0.5);
+        FaultAction logDown = new FaultAction(0.2, Kind.LOG, Target.ALL, Map.of("outage", "silent"));
+        FaultAction listDown = new FaultAction(0.2, Kind.HOST_LIST, Target.ALL, Map.of("outage", true));
+        return List.of(
+                withIds(
+                        "cancel-wave",
+                        mix(shape, 0.8),
+                        FaultAction.of(0.3, Kind.CANCEL, Target.ALL),
+                        FaultAction.of(0.6, Kind.CANCEL, Target.ALL)),
+                equal("rack-loss", at50, servers(0.3, Target.RACK, Map.of("down", true))),
+                withIds(
+                        "zone-loss",
+                        at50,
+                        servers(0.3, Target.ZONE, Map.of("down", true)),
+                        FaultAction.of(0.3, Kind.KILL_HOSTS, Target.ZONE)),
+                equal("platform-down", mix(shape, 0.8), logDown, listDown));
+    }
+
+    /** Jobs of 1,100 tasks at 40,000 tasks a second, four times the target; instant servers count 1 ms for a task. */
+    private static Scenario throughput() {
+        double tasksPerSecond = 40_000;
+        Load load = new Load("batch", URGENT, tasksPerSecond, 30_000, 1_100, 1_100, -1_000, 1, false, 0);
+        return new Scenario("throughput", SECONDS, 1, 1, 1, false, true, false, List.of(load), List.of());
+    }
+
+    /** Returns the steady load of a site: three urgent kinds at Kilima, three classes at Daugava. */
+    private static List<Load> mix(Shape shape, double total) {
+        return List.of(
+                Load.steady("urgent", URGENT, total * 0.5, URGENT_PROMISE_MILLIS),
+                Load.steady("normal", shape.urgentOnly() ? URGENT : NORMAL, total * 0.3, NORMAL_PROMISE_MILLIS),
+                Load.steady(
+                        "background",
+                        shape.urgentOnly() ? URGENT : BACKGROUND,
+                        total * 0.2,
+                        BACKGROUND_PROMISE_MILLIS));
+    }
+
+    private static FaultAction servers(double at, Target target, Map<String, Object> patch) {
+        return new FaultAction(at, Kind.SERVERS, target, patch);
+    }
+
+    private static Scenario equal(String name, List<Load> loads, FaultAction... faults) {
+        return new Scenario(name, SECONDS, 0, 1, 1, false, false, false, loads, List.of(faults));
+    }
+
+    private static Scenario withIds(String name, List<Load> loads, FaultAction... faults) {
+        return new Scenario(name, SECONDS, 0, 1, 1, false, false, true, loads, List.of(faults));
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
@@ -0,0 +1,211 @@
+package org.banyanspoke.bench.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.bench.Scenario;
+
+/** The processes of a run: stand-ins and entry hosts. Closing it ends them all. */
+public final class Cluster implements AutoCloseable {
+    private static final long START_LIMIT_MILLIS = 30_000;
+    private static final long POLL_MILLIS = 50;
+    private static final String STANDIN_OPTIONS = "-Xmx512m -XX:ActiveProcessorCount=3";
+    private static final String PLATFORM_OPTIONS = "-Xmx64m -XX:ActiveProcessorCount=1";
+    /** An entry host gets 2 processors, the size in the throughput target. */
+    private static final String HOST_OPTIONS = "-Xmx256m -XX:ActiveProcessorCount=2";
+
+    private final Path home;
+    private final Path directory;
+    private final Scenario scenario;
+    private final Topology topology;
+    private final long seed;
+    private final String policy;
+    private final HttpJson http = new HttpJson();
+    private final List<ManagedProcess> standins = new ArrayList<>();
+    private final List<ManagedProcess> hosts = new ArrayList<>();
+
+    /**
+     * @param home directory that holds {@code bin}
+     * @param directory for settings, ledger and output
+     * @param scenario the scenario
+     * @param topology its hosts and servers
+     * @param seed of the backend servers
+     * @param policy policy of the daemons
+     */
+    public Cluster(Path home, Path directory, Scenario scenario, Topology topology, long seed, String policy) {
+        this.home = home;
+        this.directory = directory;
+        this.scenario = scenario;
+        this.topology = topology;
+        this.seed = seed;
+        this.policy = policy;
+    }
+
+    /**
+     * Starts everything, sends the ticket and waits until all hosts are ready.
+     *
+     * @throws IOException if a process does not start or the ticket is not accepted
+     */
+    public void start() throws IOException, InterruptedException {
+        startStandins();
+        awaitHttp(topology.logControlPort(), "/options");
+        awaitHttp(topology.hostListControlPort(), "/options");
+        awaitHttp(topology.fleetControlPort(), "/options");
+        publishHosts();
+        for (int host = 0; host < topology.hosts(); host++) {
+            hosts.add(startHost(host));
+        }
+        for (int host = 0; host < topology.hosts(); host++) {
+            awaitHttp(topology.callersPort(host), "/health/live");
+        }
+        http.post(topology.adminPort(0), "/v1/admin/tickets", Setup.ticket(scenario, topology));
+        for (int host = 0; host < topology.hosts(); host++) {
+            awaitHttp(topology.callersPort(host), "/health/ready");
+        }
+    }
+
+    private void startStandins() throws IOException {
+        standin(PLATFORM_OPTIONS, "log", topology.logPort(), topology.logControlPort());
+        standin(PLATFORM_OPTIONS, "host-list", topology.hostListPort(), topology.hostListControlPort());
+        List<String> fleet = new ArrayList<>(List.of(
+                "--count", String.valueOf(topology.speeds().size()),
+                "--speeds", topology.speeds().stream().map(String::valueOf).collect(Collectors.joining(",")),
+                "--ledger", ledgerFile().toString(),
+                "--seed", String.valueOf(seed)));
+        if (scenario.instant()) {
+            fleet.add("--instant");
+        }
+        standin(
+                STANDIN_OPTIONS,
+                "backend",
+                topology.serverPort(0),
+                topology.fleetControlPort(),
+                fleet.toArray(new String[0]));
+    }
+
+    private void standin(String javaOptions, String kind, int port, int controlPort, String... more)
+            throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                home.resolve("bin/banyanspoke-standin").toString(),
+                kind,
+                "--port",
+                String.valueOf(port),
+                "--control-port",
+                String.valueOf(controlPort)));
+        command.addAll(List.of(more));
+        standins.add(ManagedProcess.start(command, javaOptions, directory.resolve(kind + ".out")));
+    }
+
+    private void publishHosts() throws IOException, InterruptedException {
+        List<Map<String, String>> listed = new ArrayList<>();
+        for (int host = 0; host < topology.hosts(); host++) {
+            listed.add(Map.of("id", Topology.hostId(host), "role", "entry", "state", "live"));
+        }
+        for (int server = 0; server < topology.speeds().size(); server++) {
+            listed.add(Map.of("id", "b" + server, "role", "backend", "state", "live"));
+        }
+        http.post(topology.hostListControlPort(), "/hosts", Map.of("hosts", listed));
+    }
+
+    private ManagedProcess startHost(int host) throws IOException {
+        Path settings = directory.resolve(Topology.hostId(host) + ".json");
+        Files.writeString(settings, Json.mapper().writeValueAsString(Setup.settings(topology, host, policy)));
+        List<String> command = List.of(home.resolve("bin/banyanspoked").toString(), "--settings", settings.toString());
+        return ManagedProcess.start(command, HOST_OPTIONS, directory.resolve(Topology.hostId(host) + ".out"));
+    }
+
+    /**
+     * Stops a host as on a planned stop and starts a new process in its place.
+     *
+     * @return the exit code of the old process
+     * @throws IOException if the new process does not get ready
+     */
+    public int restartHost(int host) throws IOException, InterruptedException {
+        ManagedProcess old = hosts.get(host);
+        old.terminate();
+        if (!old.awaitEnd(START_LIMIT_MILLIS)) {
+            throw new IOException(
+                    "host " + Topology.hostId(host) + " has not stopped " + START_LIMIT_MILLIS + " ms after SIGTERM");
+        }
+        hosts.set(host, startHost(host));
+        awaitHttp(topology.callersPort(host), "/health/ready");
+        return old.exitCode();
+    }
+
+    /** Kills a host. */
+    public void killHost(int host) {
+        hosts.get(host).kill();
+    }
+
+    /** Returns the processor time of the entry hosts alive now. */
+    public Duration hostCpuTime() {
+        return hosts.stream().map(ManagedProcess::cpuTime).reduce(Duration.ZERO, Duration::plus);
+    }
+
+    /** Returns the metrics of every host that responds. */
+    public List<JsonNode> hostMetrics() throws InterruptedException {
+        List<JsonNode> metrics = new ArrayList<>();
+        for (int host = 0; host < topology.hosts(); host++) {
+            try {
+                metrics.add(http.get(topology.adminPort(host), "/v1/admin/metrics"));
+            } catch (IOException e) {
+                metrics.add(Json.mapper().createObjectNode());
+            }
+        }
+        return metrics;
+    }
+
+    /** Returns the summary of the ledger, after writing its lines to the file. */
+    public JsonNode ledger() throws IOException, InterruptedException {
+        http.post(topology.fleetControlPort(), "/flush", Map.of());
+        return http.get(topology.fleetControlPort(), "/ledger");
+    }
+
+    /** Returns requests received by the log and the host list. */
+    public long platformRequests() throws IOException, InterruptedException {
+        JsonNode log = http.get(topology.logControlPort(), "/counts");
+        JsonNode list = http.get(topology.hostListControlPort(), "/counts");
+        return log.path("reads").asLong()
+                + log.path("appends").asLong()
+                + list.path("reads").asLong();
+    }
+
+    /** Changes options of a stand-in. */
+    public void change(int controlPort, String path, Object patch) throws IOException, InterruptedException {
+        http.post(controlPort, path, patch);
+    }
+
+    /** Returns the file of the ledger. */
+    public Path ledgerFile() {
+        return directory.resolve("ledger.jsonl");
+    }
+
+    private void awaitHttp(int port, String path) throws IOException, InterruptedException {
+        long deadline = System.nanoTime() + START_LIMIT_MILLIS * 1_000_000;
+        while (true) {
+            try {
+                http.get(port, path);
+                return;
+            } catch (IOException e) {
+                if (System.nanoTime() > deadline) {
+                    throw new IOException(
+                            "no success from port " + port + " " + path + " within " + START_LIMIT_MILLIS + " ms", e);
+                }
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    @Override
+    public void close() {
+        hosts.forEach(ManagedProcess::kill);
+        standins.forEach(ManagedProcess::kill);
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/LoadPlanner.java
@@ -0,0 +1,108 @@
+package org.banyanspoke.bench.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.bench.Load;
+import org.banyanspoke.bench.Scenario;
+
+/**
+ * Draws the arrivals of a run. Each load has its own random numbers, so a run without the flood has the same arrivals
+ * of the other work.
+ */
+public final class LoadPlanner {
+    /** Most tasks last 50 ms to 1 s (design, section 1); drawn uniformly in the logarithm. */
+    private static final double SHORT_MIN_MILLIS = 50;
+
+    private static final double SHORT_MAX_MILLIS = 1_000;
+    /** "A few several seconds": 2% of the tasks last 2 to 4 s. */
+    private static final double LONG_FRACTION = 0.02;
+
+    private static final double LONG_MIN_MILLIS = 2_000;
+    private static final double LONG_MAX_MILLIS = 4_000;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final double warmupSeconds;
+    private final double seconds;
+
+    /**
+     * @param scenario the scenario
+     * @param seed decides every draw
+     * @param warmupSeconds time before the measured time, in seconds
+     * @param seconds measured time in seconds
+     */
+    public LoadPlanner(Scenario scenario, long seed, double warmupSeconds, double seconds) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.warmupSeconds = warmupSeconds;
+        this.seconds = seconds;
+    }
+
+    /** Returns the mean run time of a task in milliseconds. */
+    public static double meanRunMillis() {
+        double mean = (SHORT_MAX_MILLIS - SHORT_MIN_MILLIS) / Math.log(SHORT_MAX_MILLIS / SHORT_MIN_MILLIS);
+        return (1 - LONG_FRACTION) * mean + LONG_FRACTION * (LONG_MIN_MILLIS + LONG_MAX_MILLIS) / 2;
+    }
+
+    /**
+     * Returns the jobs in the order of arrival.
+     *
+     * @param tasksPerSecond capacity of all backend servers
+     */
+    public List<PlannedJob> plan(double tasksPerSecond) {
+        List<PlannedJob> jobs = new ArrayList<>();
+        for (Load load : scenario.loads()) {
+            addJobs(load, tasksPerSecond, jobs);
+        }
+        jobs.sort(Comparator.comparingLong(PlannedJob::arrivalNanos));
+        List<PlannedJob> numbered = new ArrayList<>(jobs.size());
+        for (PlannedJob job : jobs) {
+            numbered.add(new PlannedJob(
+                    numbered.size(), job.load(), job.arrivalNanos(), job.runMillis(), job.declaredMillis()));
+        }
+        return numbered;
+    }
+
+    private void addJobs(Load load, double tasksPerSecond, List<PlannedJob> jobs) {
+        long loadSeed = seed * 1_000_003 + load.name().hashCode();
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(loadSeed);
+        double meanTasks = (load.minTasks() + load.maxTasks()) / 2.0;
+        double meanGapSeconds = meanTasks / (load.capacityFraction() * tasksPerSecond);
+        var gaps = ZigguratSampler.Exponential.of(random, meanGapSeconds);
+        double start = Math.max(0, warmupSeconds + load.from() * seconds);
+        double end = warmupSeconds + load.until() * seconds;
+        for (double at = start + gaps.sample(); at < end; at += gaps.sample()) {
+            jobs.add(draw(load, (long) (at * 1e9), random));
+        }
+    }
+
+    private PlannedJob draw(Load load, long arrivalNanos, UniformRandomProvider random) {
+        int tasks = load.minTasks() + random.nextInt(load.maxTasks() - load.minTasks() + 1);
+        double[] run = new double[tasks];
+        long[] declared = new long[tasks];
+        for (int i = 0; i < tasks; i++) {
+            run[i] = drawRunMillis(random);
+            double error = logUniform(random, 1 / scenario.declaredErrorFactor(), scenario.declaredErrorFactor());
+            declared[i] = Math.max(1, Math.round(run[i] * error));
+        }
+        return new PlannedJob(-1, load, arrivalNanos, run, declared);
+    }
+
+    private double drawRunMillis(UniformRandomProvider random) {
+        if (scenario.instant()) {
+            return 1;
+        }
+        if (random.nextDouble() < LONG_FRACTION) {
+            return LONG_MIN_MILLIS + random.nextDouble() * (LONG_MAX_MILLIS - LONG_MIN_MILLIS);
+        }
+        return logUniform(random, SHORT_MIN_MILLIS, SHORT_MAX_MILLIS);
+    }
+
+    private static double logUniform(UniformRandomProvider random, double min, double max) {
+        return min * Math.pow(max / min, random.nextDouble());
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/PlannedJob.java
@@ -0,0 +1,24 @@
+package org.banyanspoke.bench.internal;
+
+import org.banyanspoke.bench.Load;
+
+/**
+ * A job of the plan. Its tasks are {@code INDEX-0}, {@code INDEX-1} and so on, unique over the run.
+ *
+ * @param index position in the plan
+ * @param load the work it belongs to
+ * @param arrivalNanos arrival since the start of the run
+ * @param runMillis true run time of each task at speed 1, in milliseconds
+ * @param declaredMillis declared run time of each task, in milliseconds
+ */
+public record PlannedJob(int index, Load load, long arrivalNanos, double[] runMillis, long[] declaredMillis) {
+    /** Returns the number of tasks. */
+    public int tasks() {
+        return runMillis.length;
+    }
+
+    /** Returns the id of a task. */
+    public String taskId(int task) {
+        return index + "-" + task;
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
@@ -0,0 +1,98 @@
+package org.banyanspoke.bench.internal;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.banyanspoke.bench.BenchOptions;
+import org.banyanspoke.bench.Scenario;
+
+/** Runs a scenario once against new processes. Set up and called once. */
+public final class ScenarioRun {
+    private static final int EVENT_LOOPS = 2;
+
+    private final BenchOptions options;
+    private final Scenario scenario;
+
+    /** Sets up a run; starts nothing. */
+    public ScenarioRun(BenchOptions options) {
+        this.options = options;
+        scenario = options.scenario();
+    }
+
+    /**
+     * Starts the processes, drives the load and ends the processes. Their output stays in a temporary directory if the
+     * run fails.
+     *
+     * @throws IOException if a process does not start or its counts cannot be read
+     */
+    public Measurement call() throws IOException, InterruptedException {
+        Topology topology = Topology.of(scenario, options.shape(), options.scale());
+        Path directory = Files.createTempDirectory("banyanspoke-bench");
+        System.err.println(scenario.name() + " seed " + options.seed() + ", output in " + directory);
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
+        try (Cluster cluster =
+                new Cluster(options.home(), directory, scenario, topology, options.seed(), options.policy())) {
+            cluster.start();
+            return measure(cluster, topology, vertx);
+        } finally {
+            vertx.close().onFailure(e -> System.err.println("close failed: " + e));
+        }
+    }
+
+    private Measurement measure(Cluster cluster, Topology topology, Vertx vertx)
+            throws IOException, InterruptedException {
+        LoadBalancer balancer = new LoadBalancer(vertx, callersPorts(topology), weights(topology));
+        LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), scenario.reservedIds());
+        awaitReady(balancer, topology.hosts());
+        load.prepare();
+        LoadPlanner planner = new LoadPlanner(scenario, options.seed(), options.warmupSeconds(), options.seconds());
+        List<PlannedJob> jobs = planner.plan(scenario.instant() ? 1 : topology.capacityPerSecond());
+        Measurement.Counts before = counts(cluster);
+        try (FaultDriver faults = new FaultDriver(cluster, topology, load)) {
+            faults.schedule(scenario.faults(), options.warmupSeconds(), options.seconds());
+            long startNanos = System.nanoTime();
+            List<JobOutcome> outcomes = load.run(jobs, startNanos);
+            faults.finish();
+            Measurement.Counts after = counts(cluster);
+            LedgerStarts starts = LedgerStarts.read(cluster.ledgerFile());
+            return new Measurement(
+                    topology, jobs, outcomes, startNanos, before, after, starts, faults.exitCodes(), faults.errors());
+        }
+    }
+
+    private static Measurement.Counts counts(Cluster cluster) throws IOException, InterruptedException {
+        return new Measurement.Counts(
+                System.nanoTime(),
+                cluster.hostCpuTime(),
+                cluster.hostMetrics(),
+                cluster.ledger(),
+                cluster.platformRequests());
+    }
+
+    private static void awaitReady(LoadBalancer balancer, int hosts) throws InterruptedException {
+        while (balancer.readyHosts() < hosts) {
+            Thread.sleep(20);
+        }
+    }
+
+    private static List<Integer> callersPorts(Topology topology) {
+        List<Integer> ports = new ArrayList<>();
+        for (int host = 0; host < topology.hosts(); host++) {
+            ports.add(topology.callersPort(host));
+        }
+        return ports;
+    }
+
+    /** With hosts of unequal size, each host gets half the load of the one before it. */
+    private List<Integer> weights(Topology topology) {
+        List<Integer> weights = new ArrayList<>();
+        for (int host = 0; host < topology.hosts(); host++) {
+            weights.add(scenario.unequalHosts() ? 1 << (topology.hosts() - 1 - host) : 1);
+        }
+        return weights;
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Topology.java
@@ -0,0 +1,174 @@
+package org.banyanspoke.bench.internal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.EntryHostConfig;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.bench.FaultAction.Target;
+import org.banyanspoke.bench.Scenario;
+import org.banyanspoke.bench.Shape;
+
+/** Hosts, servers, speeds, zones and ports of a run. */
+public final class Topology {
+    /** Tasks that a server executes at once (design, section 1). */
+    public static final int SLOTS = 8;
+
+    private static final int CONNECTIONS = 64;
+    private static final int PORTS_PER_HOST = 3;
+    private static final int PLATFORM_PORTS = 5;
+
+    private final Shape shape;
+    private final double scale;
+    private final int hosts;
+    private final List<Double> speeds;
+    private final int basePort;
+
+    private Topology(Shape shape, double scale, int hosts, List<Double> speeds, int basePort) {
+        this.shape = shape;
+        this.scale = scale;
+        this.hosts = hosts;
+        this.speeds = speeds;
+        this.basePort = basePort;
+    }
+
+    /**
+     * Lays out a scenario on free ports.
+     *
+     * @throws IOException if there are no free ports
+     */
+    public static Topology of(Scenario scenario, Shape shape, double scale) throws IOException {
+        int hosts = scenario.hosts() > 0 ? scenario.hosts() : shape.hosts(scale);
+        int servers = shape.servers(scale);
+        List<Double> speeds = speeds(servers, scenario.speedRatio());
+        int base = Ports.block(PLATFORM_PORTS + servers + hosts * PORTS_PER_HOST);
+        return new Topology(shape, scale, hosts, speeds, base);
+    }
+
+    /** Returns speeds spread evenly in the logarithm around 1, fastest and slowest servers in every zone. */
+    static List<Double> speeds(int servers, double ratio) {
+        return IntStream.range(0, servers)
+                .mapToObj(i -> servers == 1 ? 1.0 : Math.pow(ratio, (double) i / (servers - 1) - 0.5))
+                .toList();
+    }
+
+    /** Returns the speed of each server. */
+    public List<Double> speeds() {
+        return speeds;
+    }
+
+    /** Returns tasks a second that all servers execute together. */
+    public double capacityPerSecond() {
+        double speed = speeds.stream().mapToDouble(Double::doubleValue).sum();
+        return speed * SLOTS * 1_000 / LoadPlanner.meanRunMillis();
+    }
+
+    int hosts() {
+        return hosts;
+    }
+
+    int logPort() {
+        return basePort;
+    }
+
+    int logControlPort() {
+        return basePort + 1;
+    }
+
+    int hostListPort() {
+        return basePort + 2;
+    }
+
+    int hostListControlPort() {
+        return basePort + 3;
+    }
+
+    int fleetControlPort() {
+        return basePort + 4;
+    }
+
+    int serverPort(int server) {
+        return basePort + PLATFORM_PORTS + server;
+    }
+
+    int callersPort(int host) {
+        return serverPort(speeds.size()) + host * PORTS_PER_HOST;
+    }
+
+    int adminPort(int host) {
+        return callersPort(host) + 1;
+    }
+
+    int peerPort(int host) {
+        return callersPort(host) + 2;
+    }
+
+    String zone(int index) {
+        return "z" + (index % shape.zones() + 1);
+    }
+
+    private String rack(int server) {
+        int indexInZone = server / shape.zones();
+        return zone(server) + "-r" + (indexInZone / shape.serversPerRack(scale) + 1);
+    }
+
+    /** Returns the indexes of the servers that a fault concerns. */
+    List<Integer> servers(Target target) {
+        return IntStream.range(0, speeds.size())
+                .filter(server -> matches(target, server, rack(server)))
+                .boxed()
+                .toList();
+    }
+
+    /** Returns the indexes of the entry hosts that a fault concerns. */
+    List<Integer> hosts(Target target) {
+        return IntStream.range(0, hosts)
+                .filter(host -> matches(target, host, ""))
+                .boxed()
+                .toList();
+    }
+
+    private boolean matches(Target target, int index, String rack) {
+        return switch (target) {
+            case ALL -> true;
+            case FIRST -> index == 0;
+            case RACK -> rack.equals("z1-r1");
+            case ZONE -> zone(index).equals("z1");
+        };
+    }
+
+    List<EntryHostConfig> hostConfigs() {
+        List<EntryHostConfig> configs = new ArrayList<>();
+        for (int host = 0; host < hosts; host++) {
+            configs.add(new EntryHostConfig(
+                    new HostId(hostId(host)), new ZoneId(zone(host)), "127.0.0.1:" + peerPort(host)));
+        }
+        return configs;
+    }
+
+    List<BackendServerConfig> serverConfigs() {
+        List<BackendServerConfig> configs = new ArrayList<>();
+        for (int server = 0; server < speeds.size(); server++) {
+            configs.add(new BackendServerConfig(
+                    new ServerId("b" + server),
+                    new ZoneId(zone(server)),
+                    rack(server),
+                    "127.0.0.1:" + serverPort(server),
+                    SLOTS,
+                    CONNECTIONS,
+                    Set.of(),
+                    ServerState.IN_SERVICE));
+        }
+        return configs;
+    }
+
+    static String hostId(int host) {
+        return "h" + (host + 1);
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Load, processes, faults and evaluation of the bench. */
+package org.banyanspoke.bench.internal;
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of daemons as processes under open-loop load. */
+package org.banyanspoke.bench;
