Test the dispatcher with random histories

Cause: the guarantees (at most one start, one answer, refusals that are true) must hold in any order of events.

--- /dev/null
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/History.java
@@ -0,0 +1,162 @@
+package org.banyanspoke.core.dispatch;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.Execution;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.TaskId;
+import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.JobCounts;
+import org.banyanspoke.api.job.JobRequest;
+import org.banyanspoke.api.job.JobState;
+import org.banyanspoke.api.job.TaskAnswer;
+import org.banyanspoke.core.dispatch.AttemptResult.Outcome;
+import org.banyanspoke.core.dispatch.DispatcherFixture.Caller;
+
+/** What callers and backend servers saw, and the checks on it. The checks share no code with the dispatcher. */
+final class History {
+    enum Violation {
+        STARTED_TWICE,
+        STARTED_AFTER_END,
+        STARTED_LATE,
+        STARTED_ON_LEAVING_SERVER,
+        REFUSED_AND_STARTED,
+        NOT_ONE_ANSWER,
+        DIFFERENT_ANSWERS,
+        INCOMPLETE_ANSWER,
+        FALSE_NOT_RUN,
+        NOT_STOPPED
+    }
+
+    /** One submission; the kind is null if it was accepted. */
+    record Call(JobId job, JobRequest request, Caller caller, long nanos, ErrorKind error) {}
+
+    /** One request that reached the transport, with what was in force then. */
+    record Start(
+            TaskAttempt attempt, long nanos, Instant wall, Instant contractExpiry, boolean onLeaving, boolean ended) {}
+
+    /** A task of a job. */
+    private record Task(JobId job, TaskId task) {}
+
+    final List<Call> calls = new ArrayList<>();
+    final List<Start> starts = new ArrayList<>();
+    final Map<TaskAttempt, Outcome> outcomes = new HashMap<>();
+    final Set<TaskAttempt> stopped = new HashSet<>();
+    /** Attempts that had no result when their job ended. */
+    final Set<TaskAttempt> openAtEnd = new HashSet<>();
+
+    private final List<Violation> violations = new ArrayList<>();
+
+    /** Checks the whole history after all jobs have ended. */
+    List<Violation> check() {
+        violations.clear();
+        checkStarts();
+        checkCallers();
+        checkAnswers();
+        require(stopped.containsAll(openAtEnd), Violation.NOT_STOPPED);
+        return violations;
+    }
+
+    private void checkStarts() {
+        Map<Task, TaskAttempt> latest = new HashMap<>();
+        for (Start start : starts) {
+            TaskAttempt attempt = start.attempt();
+            TaskAttempt earlier =
+                    latest.put(new Task(attempt.job(), attempt.task().id()), attempt);
+            require(earlier == null || mayMove(earlier), Violation.STARTED_TWICE);
+            require(!start.ended(), Violation.STARTED_AFTER_END);
+            require(!start.onLeaving(), Violation.STARTED_ON_LEAVING_SERVER);
+            require(start.wall().isBefore(start.contractExpiry()), Violation.STARTED_LATE);
+            require(start.nanos() < deadlineNanos(attempt.job()), Violation.STARTED_LATE);
+        }
+    }
+
+    /** Returns whether a further attempt of the task may follow this one. */
+    private boolean mayMove(TaskAttempt attempt) {
+        Outcome outcome = outcomes.get(attempt);
+        return outcome == Outcome.NOT_SENT
+                || outcome == Outcome.REFUSED_BY_SERVER && attempt.task().idempotent();
+    }
+
+    private long deadlineNanos(JobId job) {
+        return calls.stream()
+                        .filter(call -> call.job().equals(job) && call.error() == null)
+                        .mapToLong(Call::nanos)
+                        .min()
+                        .orElse(Long.MIN_VALUE)
+                + DispatcherFixture.PROMISE_MILLIS * 1_000_000;
+    }
+
+    private void checkCallers() {
+        Set<JobId> accepted = new HashSet<>();
+        Map<JobId, JobAnswer> answers = new HashMap<>();
+        for (Call call : calls) {
+            require(call.caller().answers.size() == (call.error() == null ? 1 : 0), Violation.NOT_ONE_ANSWER);
+            if (call.error() == null) {
+                accepted.add(call.job());
+            }
+            for (JobAnswer answer : call.caller().answers) {
+                JobAnswer first = answers.putIfAbsent(call.job(), answer);
+                require(first == null || first.equals(answer), Violation.DIFFERENT_ANSWERS);
+            }
+        }
+        for (Start start : starts) {
+            require(accepted.contains(start.attempt().job()), Violation.REFUSED_AND_STARTED);
+        }
+    }
+
+    private void checkAnswers() {
+        for (Call call : calls) {
+            for (JobAnswer answer : call.caller().answers) {
+                checkAnswer(call, answer);
+            }
+        }
+    }
+
+    private void checkAnswer(Call call, JobAnswer answer) {
+        List<TaskAnswer> expected = new ArrayList<>();
+        if (answer.state() == JobState.COMPLETE) {
+            call.request().tasks().forEach(task -> expected.add(expectedResult(call.job(), task.id())));
+        }
+        require(expected.equals(answer.tasks()), Violation.INCOMPLETE_ANSWER);
+        require(answer.state() != JobState.RUNNING, Violation.INCOMPLETE_ANSWER);
+        require(total(answer.counts()) == call.request().tasks().size(), Violation.INCOMPLETE_ANSWER);
+        boolean notRun = answer.error() != null && answer.error().execution() == Execution.NOT_RUN;
+        require(!notRun || !wasWritten(call.job()), Violation.FALSE_NOT_RUN);
+    }
+
+    private TaskAnswer expectedResult(JobId job, TaskId task) {
+        return outcomes.entrySet().stream()
+                .filter(entry -> entry.getValue() == Outcome.DONE)
+                .map(Map.Entry::getKey)
+                .filter(attempt ->
+                        attempt.job().equals(job) && attempt.task().id().equals(task))
+                .map(attempt -> new TaskAnswer(task, FakeTransport.resultText(attempt), attempt.server()))
+                .findFirst()
+                .orElse(new TaskAnswer(task, "no server completed it", null));
+    }
+
+    private boolean wasWritten(JobId job) {
+        return starts.stream()
+                .map(Start::attempt)
+                .filter(attempt -> attempt.job().equals(job))
+                .anyMatch(attempt -> !Objects.equals(outcomes.get(attempt), Outcome.NOT_SENT));
+    }
+
+    private static int total(JobCounts counts) {
+        return counts.done() + counts.failed() + counts.unknown() + counts.notStarted();
+    }
+
+    private void require(boolean holds, Violation violation) {
+        if (!holds && !violations.contains(violation)) {
+            violations.add(violation);
+        }
+    }
+}
