SWIM membership as pure state machines

Cause: forwarding, reader election and quota loans need to know which entry hosts are alive. A retired entry carries its age, so that hosts cannot keep it alive by passing it on.

--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/Gossip.java
@@ -0,0 +1,17 @@
+package org.banyanspoke.core.membership;
+
+import java.util.List;
+
+/**
+ * What a member attaches to each message.
+ *
+ * @param configNumber number of the sender's configuration
+ * @param sender the sender's statement about itself
+ * @param updates other statements
+ */
+public record Gossip(long configNumber, MemberUpdate sender, List<GossipUpdate> updates) {
+    /** Copies the list. */
+    public Gossip {
+        updates = List.copyOf(updates);
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
@@ -0,0 +1,104 @@
+package org.banyanspoke.core.membership;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.config.Ticket;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.config.ConfigState;
+
+/**
+ * Backend servers that are leaving by the host list, by their own answers or by what peers pass on. A statement ends when
+ * a later ticket puts the server in service or the server reports another incarnation. Not thread safe.
+ */
+public final class LeavingServers {
+    private final Map<ServerId, ServerUpdate> updates = new TreeMap<>();
+    private final GossipBuffer gossip;
+    private Set<ServerId> listed = Set.of();
+
+    /**
+     * @param gossip receives every new statement
+     */
+    public LeavingServers(GossipBuffer gossip) {
+        this.gossip = gossip;
+    }
+
+    /** Returns the servers that must receive no new work. */
+    public Set<ServerId> leaving() {
+        Set<ServerId> leaving = new HashSet<>(listed);
+        updates.values().stream().filter(ServerUpdate::leaving).forEach(update -> leaving.add(update.server()));
+        return Set.copyOf(leaving);
+    }
+
+    /** Returns all statements, for members that have missed some. */
+    public List<ServerUpdate> updates() {
+        return List.copyOf(updates.values());
+    }
+
+    /** Takes over the servers that the host list reports as leaving. */
+    public void setListed(Set<ServerId> servers) {
+        listed = Set.copyOf(servers);
+    }
+
+    /**
+     * A server's own answer said whether it is leaving.
+     *
+     * @param incarnation the server's incarnation; empty if it did not say
+     * @param configNumber number of the present configuration
+     */
+    public void onAnswer(ServerId server, String incarnation, boolean leaving, long configNumber) {
+        ServerUpdate known = updates.get(server);
+        boolean sameProcess = known != null && known.incarnation().equals(incarnation);
+        if (leaving && (known == null || !known.leaving() || !sameProcess)) {
+            accept(server, incarnation, true, configNumber);
+        } else if (!leaving && known != null && known.leaving() && !sameProcess && !incarnation.isEmpty()) {
+            accept(server, incarnation, false, configNumber);
+        }
+    }
+
+    /** Takes a statement of a peer. Returns whether it was new. */
+    public boolean merge(ServerUpdate update) {
+        ServerUpdate known = updates.get(update.server());
+        if (known != null && !update.supersedes(known)) {
+            return false;
+        }
+        updates.put(update.server(), update);
+        gossip.add(update);
+        return true;
+    }
+
+    /** A ticket was accepted: servers that it puts in service are no longer leaving by earlier statements. */
+    public void onTicket(Ticket ticket) {
+        ticket.put().servers().stream()
+                .filter(server -> server.state() == ServerState.IN_SERVICE)
+                .forEach(server -> endBefore(server.id(), ticket.number()));
+    }
+
+    /**
+     * A configuration was taken over without its tickets. A server whose entry has changed was put by one of them.
+     */
+    public void onSnapshot(ConfigState before, ConfigState after) {
+        after.servers().values().stream()
+                .filter(server -> server.state() == ServerState.IN_SERVICE)
+                .filter(server -> !server.equals(before.servers().get(server.id())))
+                .forEach(server -> endBefore(server.id(), after.number()));
+    }
+
+    private void endBefore(ServerId server, long number) {
+        ServerUpdate known = updates.get(server);
+        if (known != null && known.leaving() && known.configNumber() < number) {
+            accept(server, known.incarnation(), false, number);
+        }
+    }
+
+    private void accept(ServerId server, String incarnation, boolean leaving, long configNumber) {
+        ServerUpdate known = updates.get(server);
+        long version = known == null ? 1 : known.version() + 1;
+        ServerUpdate update = new ServerUpdate(server, incarnation, version, leaving, configNumber);
+        updates.put(server, update);
+        gossip.add(update);
+    }
+}
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/RetiredUpdate.java
@@ -0,0 +1,21 @@
+package org.banyanspoke.core.membership;
+
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+
+/**
+ * A process that has ended for good.
+ *
+ * @param incarnation the process
+ * @param host its host
+ * @param successor holder of its job archive; null if there is none
+ * @param transfers how often the archive has moved; the higher number is the newer statement
+ * @param ageMillis time since the process ended
+ */
+public record RetiredUpdate(Incarnation incarnation, HostId host, HostId successor, int transfers, long ageMillis)
+        implements GossipUpdate {
+    @Override
+    public Incarnation key() {
+        return incarnation;
+    }
+}
