--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/internal/JobRecord.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/identity/internal/JobRecord.java
@@ -1,7 +1,6 @@
 package org.banyanspoke.core.identity.internal;
 
 import com.google.common.hash.HashCode;
-import java.util.List;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.api.job.JobAnswer;
@@ -44,12 +43,8 @@
     void discardResults() {
         recent = false;
         if (answer.state() == JobState.COMPLETE) {
-            answer = withoutResults(answer);
+            answer = AnswerSizes.withoutResults(answer);
             answerKept = false;
         }
     }
-
-    static JobAnswer withoutResults(JobAnswer answer) {
-        return new JobAnswer(answer.jobId(), answer.state(), answer.error(), answer.counts(), List.of());
-    }
 }
