--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AnswerWriter.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AnswerWriter.java
@@ -50,7 +50,7 @@
         }
         response.setStatusCode(answer.status()).putHeader("Content-Type", "application/json");
         answer.headers().forEach(response::putHeader);
-        boolean bodyUnread = !request.isEnded();
+        boolean bodyUnread = hasBody(request) && !request.isEnded();
         if (bodyUnread) {
             response.putHeader("Connection", "close");
         }
@@ -78,6 +78,12 @@
         return new DispatchException(ErrorKind.INTERNAL, "internal error; the host's log has the details", e);
     }
 
+    /** The end of a request without body is reported only after its handler has returned, so the head decides. */
+    private static boolean hasBody(HttpServerRequest request) {
+        String length = request.getHeader("Content-Length");
+        return request.headers().contains("Transfer-Encoding") || (length != null && !length.equals("0"));
+    }
+
     private void endAndLinger(HttpServerRequest request, Buffer body) {
         HttpServerResponse response = request.response();
         response.putHeader("Content-Length", Integer.toString(body.length()));
--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/backend/BackendClientTest.java
@@ -0,0 +1,276 @@
+package org.banyanspoke.daemon.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.TaskId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.api.job.TaskSpec;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.AttemptResult;
+import org.banyanspoke.core.dispatch.AttemptResult.Outcome;
+import org.banyanspoke.core.dispatch.LoadReport;
+import org.banyanspoke.core.dispatch.TaskAttempt;
+import org.banyanspoke.daemon.FakeBackend;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BackendClientTest {
+    private static final ServerId SERVER = new ServerId("s1");
+    private static final JobId JOB = JobId.parse("h1~127.0.0.1:1~0000000000000001~0~1~0000000000000002");
+    private static final long LONG_LEASE_MILLIS = 60_000;
+
+    private final Vertx serverVertx = Vertx.vertx();
+    private final Vertx clientVertx = Vertx.vertx();
+    private final Context context = clientVertx.getOrCreateContext();
+    private final AtomicLong skippedNanos = new AtomicLong();
+    private final BackendClient client =
+            new BackendClient(clientVertx, context, () -> System.nanoTime() + skippedNanos.get());
+    private FakeBackend backend;
+    private long nextAttempt = 1;
+
+    @BeforeEach
+    void open() throws Exception {
+        backend = new FakeBackend(serverVertx);
+        configure(backend.address());
+        context.runOnContext(unused -> clientVertx.setPeriodic(10, timer -> client.tick()));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        clientVertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        serverVertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    }
+
+    private void configure(String address) {
+        BackendServerConfig server = new BackendServerConfig(
+                SERVER, new ZoneId("z1"), "r1", address, 8, 64, Set.of(), ServerState.IN_SERVICE);
+        ConfigState config =
+                new ConfigState(1, Map.of(), Map.of(), Map.of(SERVER, server), Map.of(), ClassShares.DEFAULT);
+        context.runOnContext(unused -> client.configure(config));
+    }
+
+    private TaskAttempt attempt(long leaseMillis) {
+        TaskSpec task = new TaskSpec(new TaskId("t" + nextAttempt), "payload", 1, false);
+        return new TaskAttempt(nextAttempt++, JOB, task, SERVER, leaseMillis);
+    }
+
+    private CompletableFuture<AttemptResult> start(long leaseMillis) {
+        return start(attempt(leaseMillis));
+    }
+
+    private CompletableFuture<AttemptResult> start(TaskAttempt attempt) {
+        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+        context.runOnContext(unused -> client.start(attempt, result::complete));
+        return result;
+    }
+
+    private static AttemptResult await(CompletableFuture<AttemptResult> result) throws Exception {
+        return result.get(10, TimeUnit.SECONDS);
+    }
+
+    private Outcome outcomeWhen(io.vertx.core.Handler<HttpServerRequest> onTask) throws Exception {
+        backend.onTask = onTask;
+        return await(start(LONG_LEASE_MILLIS)).outcome();
+    }
+
+    @Nested
+    class Responses {
+        /** Guards against lost results and load reports. */
+        @Test
+        void doneCarriesResultLoadAndIncarnation() throws Exception {
+            AttemptResult result = await(start(LONG_LEASE_MILLIS));
+            assertThat(result.outcome()).isEqualTo(Outcome.DONE);
+            assertThat(result.result()).isEqualTo("t1");
+            assertThat(result.load()).isEqualTo(new LoadReport(3, 1, 8));
+            assertThat(result.serverIncarnation()).isEqualTo("i1");
+        }
+
+        /** Guards against a started task that is taken for one that may be started elsewhere. */
+        @Test
+        void serverErrorWithoutStatementIsFailed() throws Exception {
+            assertThat(outcomeWhen(request -> FakeBackend.answer(request, 500, request.getHeader("Task-Attempt"))))
+                    .isEqualTo(Outcome.FAILED);
+        }
+
+        /** Guards against a leaving server that goes unnoticed. */
+        @Test
+        void refusalWith503TellsThatTheServerLeaves() throws Exception {
+            backend.onTask = request -> {
+                request.response().putHeader("Task-Started", "false");
+                FakeBackend.answer(request, 503, request.getHeader("Task-Attempt"));
+            };
+            AttemptResult result = await(start(LONG_LEASE_MILLIS));
+            assertThat(result.outcome()).isEqualTo(Outcome.REFUSED_BY_SERVER);
+            assertThat(result.serverLeaving()).isTrue();
+        }
+
+        /** Guards against a result of one task given to another, and against reuse of such a connection. */
+        @Test
+        void responseOfAnotherAttemptIsUnknownAndClosesTheConnection() throws Exception {
+            assertThat(outcomeWhen(request -> FakeBackend.answer(request, 200, "999")))
+                    .isEqualTo(Outcome.UNKNOWN);
+            assertThat(outcomeWhen(FakeBackend::done)).isEqualTo(Outcome.DONE);
+            assertThat(backend.connections).hasSize(2);
+        }
+
+        /** Guards against a body that fills the memory of the entry host. */
+        @Test
+        void oversizedResponseIsUnknown() throws Exception {
+            assertThat(outcomeWhen(request -> request.response()
+                            .putHeader("Task-Attempt", request.getHeader("Task-Attempt"))
+                            .end("x".repeat(ServerConnection.MAX_RESPONSE_BYTES + 1))))
+                    .isEqualTo(Outcome.UNKNOWN);
+        }
+    }
+
+    @Nested
+    class Connections {
+        /** Guards against a job that fails although its task can go to another server. */
+        @Test
+        void refusedConnectionIsNotSent() throws Exception {
+            int closedPort;
+            try (ServerSocket socket = new ServerSocket(0)) {
+                closedPort = socket.getLocalPort();
+            }
+            configure("127.0.0.1:" + closedPort);
+            assertThat(await(start(LONG_LEASE_MILLIS)).outcome()).isEqualTo(Outcome.NOT_SENT);
+        }
+
+        /** Guards against a second start of a task that the server may have read. */
+        @Test
+        void connectionClosedAfterTheRequestIsUnknown() throws Exception {
+            assertThat(outcomeWhen(request -> request.connection().close())).isEqualTo(Outcome.UNKNOWN);
+            assertThat(backend.requests).hasSize(1);
+        }
+
+        /** Guards against a server that is given more connections than its share. */
+        @Test
+        void areAtMostEight() throws Exception {
+            List<CompletableFuture<AttemptResult>> results = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                results.add(start(LONG_LEASE_MILLIS));
+            }
+            for (CompletableFuture<AttemptResult> result : results) {
+                assertThat(await(result).outcome()).isEqualTo(Outcome.DONE);
+            }
+            assertThat(backend.connections).hasSizeLessThanOrEqualTo(ServerConnections.MAX_CONNECTIONS);
+        }
+    }
+
+    @Nested
+    class Leases {
+        /** Guards against a late response that reaches the next task on the same connection. */
+        @Test
+        void lateResponseIsNotDeliveredToAnotherTask() throws Exception {
+            CompletableFuture<HttpServerRequest> held = new CompletableFuture<>();
+            backend.onTask = held::complete;
+            assertThat(await(start(100)).outcome()).isEqualTo(Outcome.UNKNOWN);
+            backend.onTask = FakeBackend::done;
+            CompletableFuture<AttemptResult> second = start(LONG_LEASE_MILLIS);
+            HttpServerRequest late = held.get(5, TimeUnit.SECONDS);
+            if (!late.response().closed()) {
+                FakeBackend.done(late);
+            }
+            assertThat(await(second).result()).isEqualTo("t2");
+            assertThat(backend.connections).hasSize(2);
+        }
+
+        /** Guards against an attempt that waits for a connection for ever, and against calling it unknown. */
+        @Test
+        void attemptWithoutConnectionIsNotSent() throws Exception {
+            backend.onTask = request -> {};
+            for (int i = 0; i < ServerConnections.MAX_CONNECTIONS; i++) {
+                CompletableFuture<AttemptResult> unanswered = start(LONG_LEASE_MILLIS);
+                assertThat(unanswered).isNotDone();
+            }
+            assertThat(await(start(100)).outcome()).isEqualTo(Outcome.NOT_SENT);
+        }
+    }
+
+    @Nested
+    class SilentConnections {
+        private HttpConnection openTwo() throws Exception {
+            CountDownLatch both = new CountDownLatch(2);
+            List<HttpServerRequest> held = new ArrayList<>();
+            backend.onTask = request -> {
+                held.add(request);
+                both.countDown();
+                if (held.size() == 2) {
+                    held.forEach(FakeBackend::done);
+                }
+            };
+            CompletableFuture<AttemptResult> first = start(LONG_LEASE_MILLIS);
+            await(start(LONG_LEASE_MILLIS));
+            await(first);
+            backend.onTask = FakeBackend::done;
+            return held.get(0).connection();
+        }
+
+        /** Guards against tasks that go to idle connections which went silent like the one in use. */
+        @Test
+        void idleOnesAreReplacedWhenAFreshOneAnswers() throws Exception {
+            openTwo();
+            Set<HttpConnection> old = Set.copyOf(backend.connections);
+            backend.silent.addAll(old);
+            CompletableFuture<AttemptResult> stuck = start(LONG_LEASE_MILLIS);
+            while (backend.requests.size() < 3) {
+                Thread.sleep(5);
+            }
+            skippedNanos.addAndGet(ServerConnections.MIN_SUSPICION_NANOS);
+            while (!backend.requests.contains("GET /health")) {
+                Thread.sleep(5);
+            }
+            Thread.sleep(100);
+            assertThat(await(start(LONG_LEASE_MILLIS)).outcome()).isEqualTo(Outcome.DONE);
+            assertThat(stuck).as("a request in flight is left alone").isNotDone();
+        }
+
+        /** Guards against a task written to a connection that was idle so long that it may be dead. */
+        @Test
+        void longIdleOneIsCheckedBeforeReuse() throws Exception {
+            await(start(LONG_LEASE_MILLIS));
+            backend.silent.addAll(backend.connections);
+            skippedNanos.addAndGet(ServerConnections.IDLE_CHECK_NANOS);
+            assertThat(await(start(LONG_LEASE_MILLIS)).outcome()).isEqualTo(Outcome.DONE);
+            assertThat(backend.requests).contains("GET /health");
+        }
+    }
+
+    @Nested
+    class Stops {
+        /** Guards against a cancelled task that keeps running on the server. */
+        @Test
+        void sendsADeleteForARunningAttempt() throws Exception {
+            CountDownLatch arrived = new CountDownLatch(1);
+            backend.onTask = request -> arrived.countDown();
+            TaskAttempt attempt = attempt(LONG_LEASE_MILLIS);
+            CompletableFuture<AttemptResult> running = start(attempt);
+            assertThat(arrived.await(5, TimeUnit.SECONDS)).isTrue();
+            context.runOnContext(unused -> client.stop(attempt));
+            while (!backend.requests.contains("DELETE /tasks/1")) {
+                Thread.sleep(5);
+            }
+            assertThat(running).isNotDone();
+        }
+    }
+}
