Wire membership, configuration spread, forwarding, archives and loans on the control thread

Cause: hosts must learn tickets without each polling the log, and requests must reach the owner named by a job id. ControlService takes its settings, both platform clients, the transport, clock and random source; Daemon passes them.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
@@ -1,10 +1,10 @@
 package org.banyanspoke.core.membership;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.banyanspoke.api.config.ServerState;
 import org.banyanspoke.api.config.Ticket;
 import org.banyanspoke.api.ids.ServerId;
@@ -17,7 +17,8 @@
 public final class LeavingServers {
     private final Map<ServerId, ServerUpdate> updates = new TreeMap<>();
     private final GossipBuffer gossip;
-    private Set<ServerId> listed = Set.of();
+    /** The host list as last read; null before the first read. */
+    private Set<ServerId> listed;
 
     /**
      * @param gossip receives every new statement
@@ -28,9 +29,10 @@
 
     /** Returns the servers that must receive no new work. */
     public Set<ServerId> leaving() {
-        Set<ServerId> leaving = new HashSet<>(listed);
-        updates.values().stream().filter(ServerUpdate::leaving).forEach(update -> leaving.add(update.server()));
-        return Set.copyOf(leaving);
+        return updates.values().stream()
+                .filter(ServerUpdate::leaving)
+                .map(ServerUpdate::server)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /** Returns all statements, for members that have missed some. */
@@ -38,8 +40,20 @@
         return List.copyOf(updates.values());
     }
 
-    /** Takes over the servers that the host list reports as leaving. */
-    public void setListed(Set<ServerId> servers) {
+    /**
+     * Takes the servers that the host list reports as leaving. The list lags, so a server that it has reported all along
+     * is not reported again after a ticket has put it back in service.
+     *
+     * @param servers all servers that the list reports as leaving
+     * @param configNumber number of the present configuration
+     */
+    public void onListed(Set<ServerId> servers, long configNumber) {
+        for (ServerId server : servers) {
+            boolean news = listed == null ? !updates.containsKey(server) : !listed.contains(server);
+            if (news && !isLeaving(server)) {
+                accept(server, "", true, configNumber);
+            }
+        }
         listed = Set.copyOf(servers);
     }
 
@@ -87,6 +101,11 @@
                 .forEach(server -> endBefore(server.id(), after.number()));
     }
 
+    private boolean isLeaving(ServerId server) {
+        ServerUpdate known = updates.get(server);
+        return known != null && known.leaving();
+    }
+
     private void endBefore(ServerId server, long number) {
         ServerUpdate known = updates.get(server);
         if (known != null && known.leaving() && known.configNumber() < number) {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -24,6 +24,7 @@
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
+import org.banyanspoke.daemon.control.ControlSettings;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
@@ -31,9 +32,13 @@
 import org.banyanspoke.daemon.jobs.DispatchThread;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
+import org.banyanspoke.peer.FrameFilter;
+import org.banyanspoke.peer.PeerTransport;
+import org.banyanspoke.peer.TransportLimits;
 import org.jboss.logging.Logger;
 
 /** One entry host process: creates and registers the services, starts them and waits for the planned stop. */
@@ -128,8 +133,19 @@
 
     private ControlService createControl() {
         io.vertx.rxjava3.core.Vertx rxVertx = io.vertx.rxjava3.core.Vertx.newInstance(trafficVertx);
+        ControlSettings controlSettings = new ControlSettings(
+                identity.host(),
+                identity.incarnation(),
+                settings.host().zone(),
+                identity.peerAddress(),
+                settings.peer().seeds().stream().map(Object::toString).toList());
         return new ControlService(
-                new HttpLogClient(rxVertx, settings.logAddress().toString()), clock);
+                controlSettings,
+                new HttpLogClient(rxVertx, settings.logAddress().toString()),
+                new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
     }
 
     private DispatchService createDispatch(DispatchEvents events) {
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LoanExchange.java
@@ -0,0 +1,158 @@
+package org.banyanspoke.daemon.control.internal;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.DispatcherStats.TeamDemand;
+import org.banyanspoke.core.membership.Swim;
+import org.banyanspoke.core.quota.LoanGrant;
+import org.banyanspoke.core.quota.LoanRequest;
+import org.banyanspoke.core.quota.QuotaLending;
+import org.banyanspoke.daemon.control.LocalDispatch;
+import org.banyanspoke.peer.PeerIdentity;
+import org.banyanspoke.peer.generated.Frame;
+import org.jboss.logging.Logger;
+
+/** Asks members for quota loans and answers their requests. Does nothing until a dispatch service is attached. */
+public final class LoanExchange {
+    private static final Logger LOG = Logger.getLogger(LoanExchange.class);
+
+    private static final long REQUEST_TIMEOUT_MILLIS = 1_000;
+
+    private final QuotaLending lending;
+    private final Swim swim;
+    private final PeerLink peers;
+    private final Scheduler controlThread;
+    private final CompositeDisposable running = new CompositeDisposable();
+    private LocalDispatch dispatch;
+
+    /**
+     * @param lending decides
+     * @param swim live members
+     * @param peers sends
+     * @param controlThread runs the decisions
+     */
+    public LoanExchange(QuotaLending lending, Swim swim, PeerLink peers, Scheduler controlThread) {
+        this.lending = lending;
+        this.swim = swim;
+        this.peers = peers;
+        this.controlThread = controlThread;
+    }
+
+    /** Sets the handler of requests. */
+    public void start() {
+        peers.handle(Frame.BodyCase.LOAN_REQUEST, this::onRequest);
+    }
+
+    /** Abandons open requests. */
+    public void stop() {
+        running.dispose();
+    }
+
+    /** Sets the dispatch service and puts the present shares in force. */
+    public void attach(LocalDispatch localDispatch) {
+        dispatch = localDispatch;
+        enforceShares();
+    }
+
+    /** Takes over a configuration. */
+    public void configure(ConfigState config) {
+        lending.configure(config);
+        enforceShares();
+    }
+
+    /** Asks for a loan if a team lacks share. Called once a second. */
+    public void tick() {
+        if (dispatch != null) {
+            running.add(dispatch.demand()
+                    .observeOn(controlThread)
+                    .flatMapCompletable(this::borrow)
+                    .subscribe(() -> {}, e -> LOG.debugf("loan request: %s", e)));
+        }
+    }
+
+    private Completable borrow(Map<TeamId, TeamDemand> demand) {
+        List<HostId> live =
+                swim.table().live().stream().map(member -> member.config().id()).toList();
+        Optional<LoanRequest> request = lending.tick(demand, live);
+        return putInForce().andThen(Maybe.fromOptional(request).flatMapCompletable(this::send));
+    }
+
+    private Completable send(LoanRequest request) {
+        Frame.Builder frame = Frame.newBuilder().setLoanRequest(toMessage(request));
+        return Maybe.fromOptional(peers.address(request.lender()))
+                .toSingle()
+                .flatMap(address -> peers.request(address, frame, REQUEST_TIMEOUT_MILLIS))
+                .map(reply -> fromMessage(reply.frame().getLoanGrant()))
+                .filter(grant -> !grant.granted().isEmpty())
+                .flatMapCompletable(this::onGrant);
+    }
+
+    private Completable onGrant(LoanGrant grant) {
+        lending.onGrant(grant);
+        return putInForce();
+    }
+
+    /** The lender's lower share is in force before the borrower may use the loan. */
+    private Single<Frame.Builder> onRequest(PeerIdentity from, Frame frame) {
+        LoanRequest request = fromMessage(frame.getLoanRequest());
+        Optional<LoanGrant> grant = dispatch == null ? Optional.empty() : lending.onRequest(request);
+        LoanGrant answer = grant.orElseGet(() -> new LoanGrant(
+                request.borrower(), request.lender(), request.requestId(), request.configNumber(), Map.of()));
+        return putInForce().andThen(Single.fromSupplier(() -> Frame.newBuilder().setLoanGrant(toMessage(answer))));
+    }
+
+    private void enforceShares() {
+        running.add(putInForce().subscribe(() -> {}, e -> LOG.error("quota shares are not in force", e)));
+    }
+
+    private Completable putInForce() {
+        return dispatch == null ? Completable.complete() : dispatch.putInForce(lending.shares());
+    }
+
+    private static org.banyanspoke.peer.generated.LoanRequest toMessage(LoanRequest request) {
+        return org.banyanspoke.peer.generated.LoanRequest.newBuilder()
+                .setBorrower(request.borrower().value())
+                .setLender(request.lender().value())
+                .setRequestId(request.requestId())
+                .setConfigNumber(request.configNumber())
+                .addAllWanted(PeerMessages.toMessage(request.wanted()))
+                .build();
+    }
+
+    private static LoanRequest fromMessage(org.banyanspoke.peer.generated.LoanRequest message) {
+        return new LoanRequest(
+                new HostId(message.getBorrower()),
+                new HostId(message.getLender()),
+                message.getRequestId(),
+                message.getConfigNumber(),
+                PeerMessages.fromMessage(message.getWantedList()));
+    }
+
+    private static org.banyanspoke.peer.generated.LoanGrant toMessage(LoanGrant grant) {
+        return org.banyanspoke.peer.generated.LoanGrant.newBuilder()
+                .setBorrower(grant.borrower().value())
+                .setLender(grant.lender().value())
+                .setRequestId(grant.requestId())
+                .setConfigNumber(grant.configNumber())
+                .addAllGranted(PeerMessages.toMessage(grant.granted()))
+                .build();
+    }
+
+    private static LoanGrant fromMessage(org.banyanspoke.peer.generated.LoanGrant message) {
+        return new LoanGrant(
+                new HostId(message.getBorrower()),
+                new HostId(message.getLender()),
+                message.getRequestId(),
+                message.getConfigNumber(),
+                PeerMessages.fromMessage(message.getGrantedList()));
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LogDuty.java
@@ -0,0 +1,113 @@
+package org.banyanspoke.daemon.control.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.reactivex.rxjava3.core.Completable;
+import java.util.ArrayList;
+import java.util.List;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.core.config.ConfigTracker;
+import org.banyanspoke.core.membership.Member;
+import org.banyanspoke.core.membership.Rendezvous;
+import org.banyanspoke.core.membership.Swim;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.daemon.platform.LogClient;
+import org.jboss.logging.Logger;
+
+/** Decides which live host reads the log and which one writes snapshots, without messages. */
+public final class LogDuty {
+    private static final Logger LOG = Logger.getLogger(LogDuty.class);
+
+    /** The design's number of readers of the log in each zone. */
+    private static final int READERS_PER_ZONE = 2;
+
+    private static final int SNAPSHOT_TICKETS = 100;
+    private static final long SNAPSHOT_MILLIS = 3_600_000;
+
+    private final HostId self;
+    private final ZoneId zone;
+    private final Swim swim;
+    private final ConfigHolder config;
+    private final LogReader reader;
+    private final LogClient log;
+    private final MonotonicClock clock;
+    private long seenSnapshotNumber;
+    private long lastSnapshotMillis;
+
+    /**
+     * @param self this host
+     * @param zone its zone
+     * @param swim live members
+     * @param config the configuration
+     * @param reader reads the log to its end
+     * @param log receives snapshots
+     * @param clock times snapshots
+     */
+    public LogDuty(
+            HostId self,
+            ZoneId zone,
+            Swim swim,
+            ConfigHolder config,
+            LogReader reader,
+            LogClient log,
+            MonotonicClock clock) {
+        this.self = self;
+        this.zone = zone;
+        this.swim = swim;
+        this.config = config;
+        this.reader = reader;
+        this.log = log;
+        this.clock = clock;
+        this.lastSnapshotMillis = clock.millis();
+    }
+
+    /** Returns whether this host is one of the readers of its zone. */
+    public boolean isReader() {
+        List<HostId> hosts = new ArrayList<>(List.of(self));
+        swim.table().live().stream()
+                .filter(member -> member.config().zone().equals(zone))
+                .forEach(member -> hosts.add(member.config().id()));
+        return Rendezvous.choose("log/" + zone, hosts, READERS_PER_ZONE).contains(self);
+    }
+
+    /**
+     * Writes a snapshot if one is due and this host is chosen. Reads the log first, because a host that is no reader does
+     * not see the snapshots of others. A second snapshot does no harm.
+     */
+    public Completable writeSnapshotIfDue() {
+        if (!isDue() || !isWriter()) {
+            return Completable.complete();
+        }
+        return reader.readToEnd().andThen(Completable.defer(() -> isDue() ? writeSnapshot() : Completable.complete()));
+    }
+
+    private boolean isDue() {
+        ConfigTracker tracker = config.tracker();
+        if (tracker.lastSnapshotNumber() > seenSnapshotNumber) {
+            seenSnapshotNumber = tracker.lastSnapshotNumber();
+            lastSnapshotMillis = clock.millis();
+        }
+        long number = tracker.state().number();
+        boolean many = number - seenSnapshotNumber >= SNAPSHOT_TICKETS;
+        boolean old = clock.millis() - lastSnapshotMillis >= SNAPSHOT_MILLIS;
+        return number > 0 && !tracker.hasGap() && (many || old);
+    }
+
+    private boolean isWriter() {
+        List<HostId> hosts = new ArrayList<>(List.of(self));
+        swim.table().live().stream().map(Member::config).forEach(member -> hosts.add(member.id()));
+        String key = "snapshot/" + config.state().number();
+        return Rendezvous.choose(key, hosts, 1).contains(self);
+    }
+
+    private Completable writeSnapshot() {
+        JsonNode snapshot = Json.mapper().valueToTree(config.tracker().snapshot());
+        long number = config.state().number();
+        return log.append(Json.mapper().createObjectNode().set("snapshot", snapshot))
+                .doOnSuccess(offset -> LOG.infof("snapshot of configuration %d is at offset %d", number, offset))
+                .ignoreElement()
+                .andThen(reader.readToEnd())
+                .andThen(Completable.fromAction(() -> lastSnapshotMillis = clock.millis()));
+    }
+}
