Tests of the control plane over loopback

Change: three hosts with a log in memory: raced numbers, lost append responses, start from peers, a host that was cut off, forwarding, archives over two successors, loans, leaving servers.

--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
@@ -0,0 +1,333 @@
+package org.banyanspoke.daemon.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import com.google.common.hash.Hashing;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.banyanspoke.api.config.Ticket;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.JobId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.JobCounts;
+import org.banyanspoke.api.job.JobState;
+import org.banyanspoke.core.dispatch.DispatcherStats.TeamDemand;
+import org.banyanspoke.core.identity.JobArchive;
+import org.banyanspoke.core.quota.QuotaShares;
+import org.banyanspoke.daemon.control.TicketOutcome.State;
+import org.banyanspoke.daemon.platform.ListedHost;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(120)
+class ControlServiceTest {
+    private static final TeamId TEAM = new TeamId("a");
+
+    private TestCluster cluster;
+
+    @BeforeEach
+    void create() throws Exception {
+        cluster = new TestCluster(3);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        cluster.close();
+    }
+
+    private JobId job(String host, Incarnation incarnation, long sequence) {
+        return new JobId(new HostId(host), cluster.address(host), incarnation, 0, sequence, 0);
+    }
+
+    private static ForwardRequest submission(JobId job, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return new ForwardRequest(ForwardRequest.Action.SUBMIT, TEAM, job, bytes, true, 0);
+    }
+
+    private ErrorKind failure(String host, ForwardRequest request) {
+        Throwable thrown =
+                catchThrowable(() -> cluster.host(host).forward(request, 3_000).blockingGet());
+        assertThat(thrown).hasCauseInstanceOf(DispatchException.class);
+        return ((DispatchException) thrown.getCause()).kind();
+    }
+
+    /** Echoes forwarded requests and records quota shares. */
+    private static final class StubDispatch implements LocalDispatch {
+        private final List<QuotaShares> shares = new CopyOnWriteArrayList<>();
+        private final double wanted;
+
+        StubDispatch(double wanted) {
+            this.wanted = wanted;
+        }
+
+        @Override
+        public Single<ForwardReply> handle(ForwardRequest request) {
+            return Single.just(new ForwardReply(200, request.body(), 0));
+        }
+
+        @Override
+        public Completable putInForce(QuotaShares latest) {
+            return Completable.fromAction(() -> shares.add(latest));
+        }
+
+        @Override
+        public Single<Map<TeamId, TeamDemand>> demand() {
+            return Single.just(Map.of(TEAM, new TeamDemand(Math.min(wanted, 100), wanted, (int) wanted)));
+        }
+
+        double startsPerSecond() {
+            return shares.isEmpty()
+                    ? 0
+                    : shares.get(shares.size() - 1).shares().get(TEAM).startsPerSecond();
+        }
+    }
+
+    @Nested
+    class Appends {
+        @BeforeEach
+        void start() throws Exception {
+            cluster.startAll();
+            assertThat(cluster.append("h1", cluster.roster())).isEqualTo(State.ACCEPTED);
+        }
+
+        /** Guards against two operators both being told that their ticket was accepted. */
+        @Test
+        void oneOfTwoOperatorsWithOneNumberGetsAConflict() {
+            Ticket alice = TestCluster.weight(2, "alice", 2);
+            Ticket bob = TestCluster.weight(2, "bob", 3);
+            List<State> states = Single.zip(
+                            cluster.host("h1").appendTicket(alice),
+                            cluster.host("h2").appendTicket(bob),
+                            (a, b) -> List.of(a.state(), b.state()))
+                    .blockingGet();
+            assertThat(states).containsExactlyInAnyOrder(State.ACCEPTED, State.CONFLICT);
+        }
+
+        /** Guards against an accepted ticket being reported as failed, or applied twice by the repetition. */
+        @Test
+        void lostResponseAndLostRequestAreSettled() throws Exception {
+            cluster.log.failAppends(FakeLog.AppendFault.RESPONSE_LOST, 1);
+            assertThat(cluster.append("h1", TestCluster.weight(2, "t2", 2))).isEqualTo(State.ACCEPTED);
+            cluster.log.failAppends(FakeLog.AppendFault.REQUEST_LOST, 2);
+            assertThat(cluster.append("h1", TestCluster.weight(3, "t3", 3))).isEqualTo(State.ACCEPTED);
+            assertThat(cluster.append("h1", TestCluster.weight(3, "t3", 3))).isEqualTo(State.ACCEPTED);
+            cluster.awaitNumber("h2", 3);
+            assertThat(cluster.host("h2").config().number()).isEqualTo(3);
+        }
+
+        /** Guards against "not applied" being claimed for a record that may be on the log. */
+        @Test
+        void unreadableLogGivesAnUnknownOutcomeThatIsSettledLater() {
+            cluster.log.setReadable(false);
+            cluster.log.failAppends(FakeLog.AppendFault.RESPONSE_LOST, 100);
+            Ticket ticket = TestCluster.weight(2, "t2", 2);
+            assertThat(cluster.append("h1", ticket)).isEqualTo(State.UNKNOWN);
+            int copies = cluster.log.size();
+            assertThat(copies).isGreaterThan(2);
+            cluster.log.setReadable(true);
+            assertThat(cluster.append("h1", ticket)).isEqualTo(State.ACCEPTED);
+            assertThat(cluster.host("h1").config().number()).isEqualTo(2);
+        }
+
+        /** Guards against an operator waiting for a ticket that was never appended. */
+        @Test
+        void unreachableLogAndInvalidTicketAreNotApplied() {
+            assertThat(cluster.append("h1", TestCluster.weight(2, "t2", 0))).isEqualTo(State.INVALID);
+            assertThat(cluster.append("h1", TestCluster.weight(4, "t4", 1))).isEqualTo(State.INVALID);
+            cluster.log.setDown(true);
+            assertThat(cluster.append("h1", TestCluster.weight(2, "t2", 2))).isEqualTo(State.LOG_UNAVAILABLE);
+            assertThat(cluster.log.size()).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class Spread {
+        /** Guards against a ticket that some hosts do not have in force within the target of 5 s. */
+        @Test
+        void ticketsReachEveryHostAndSnapshotsAreWritten() throws Exception {
+            cluster.startWithRoster();
+            for (int number = 2; number <= 102; number++) {
+                assertThat(cluster.append("h1", TestCluster.weight(number, "t" + number, number)))
+                        .isEqualTo(State.ACCEPTED);
+            }
+            for (String host : List.of("h1", "h2", "h3")) {
+                cluster.awaitNumber(host, 102);
+            }
+            TestCluster.await(15_000, cluster.log::hasSnapshot);
+        }
+
+        /** Guards against a new host being useless while the log is down or its old records are gone. */
+        @Test
+        void newHostStartsFromPeers() throws Exception {
+            cluster.start("h1", cluster.log);
+            cluster.append("h1", cluster.roster());
+            FakeLog down = new FakeLog();
+            down.setDown(true);
+            cluster.start("h2", down);
+            cluster.log.expireAll();
+            cluster.start("h3", cluster.log);
+            for (String host : List.of("h2", "h3")) {
+                TestCluster.await(5_000, () -> cluster.host(host).readiness().ready());
+                assertThat(cluster.host(host).config())
+                        .isEqualTo(cluster.host("h1").config());
+                assertThat(cluster.host(host).configSource()).isEqualTo("peer");
+            }
+        }
+
+        /** Guards against a host without any source of configuration accepting work. */
+        @Test
+        void hostWithoutSourceIsNotReady() throws Exception {
+            cluster.log.setDown(true);
+            ControlService alone = cluster.start("h2", cluster.log);
+            Thread.sleep(3_000);
+            assertThat(alone.readiness().ready()).isFalse();
+        }
+
+        /** Guards against a host that was cut off going back, or staying behind after the cut. */
+        @Test
+        void hostThatWasCutOffCatchesUpAndNeverGoesBack() throws Exception {
+            FakeLog unreachable = new FakeLog();
+            unreachable.setDown(true);
+            cluster.start("h1", cluster.log);
+            cluster.append("h1", cluster.roster());
+            cluster.start("h2", cluster.log);
+            cluster.start("h3", unreachable);
+            cluster.awaitNumber("h3", 1);
+            List<Long> seen = new CopyOnWriteArrayList<>();
+            var unused = cluster.host("h3").configs().subscribe(config -> seen.add(config.number()));
+            cluster.cut("h3", true);
+            cluster.append("h1", TestCluster.weight(2, "t2", 2));
+            cluster.append("h1", TestCluster.weight(3, "t3", 3));
+            Thread.sleep(2_500);
+            assertThat(cluster.host("h3").config().number()).isEqualTo(1);
+            assertThat(cluster.host("h3").readiness().ready()).isTrue();
+            cluster.cut("h3", false);
+            TestCluster.await(20_000, () -> cluster.host("h3").config().number() == 3);
+            assertThat(seen).isSorted().doesNotHaveDuplicates();
+        }
+
+        /** Guards against a leaving backend server being known only to hosts that read the host list. */
+        @Test
+        void leavingServersOfTheHostListReachEveryHost() throws Exception {
+            cluster.startWithRoster();
+            ServerId server = new ServerId("s1");
+            cluster.list(new ListedHost("s1", ListedHost.Role.BACKEND, ListedHost.State.LEAVING));
+            for (String host : List.of("h1", "h2", "h3")) {
+                TestCluster.await(
+                        8_000,
+                        () -> cluster.host(host)
+                                .leavingServers()
+                                .blockingFirst()
+                                .contains(server));
+            }
+        }
+    }
+
+    @Nested
+    class Forwards {
+        @BeforeEach
+        void start() throws Exception {
+            cluster.startWithRoster();
+            cluster.host("h2").attach(new StubDispatch(0));
+        }
+
+        /** Guards against a request that reaches another process than the owner. */
+        @Test
+        void ownerAnswers() {
+            ForwardRequest request = submission(job("h2", cluster.incarnation("h2"), 1), "{\"x\":1}");
+            ForwardReply reply = cluster.host("h1").forward(request, 3_000).blockingGet();
+            assertThat(new String(reply.body(), StandardCharsets.UTF_8)).isEqualTo("{\"x\":1}");
+        }
+
+        /** Guards against a lost owner being reported as one that may come back, and the reverse. */
+        @Test
+        void stoppedOwnerIsUnreachableAndAReplacedOneIsLost() throws Exception {
+            ForwardRequest request = submission(job("h2", cluster.incarnation("h2"), 1), "{}");
+            cluster.stop("h2");
+            assertThat(failure("h1", request)).isEqualTo(ErrorKind.OWNER_UNREACHABLE);
+            cluster.start("h2", cluster.log);
+            TestCluster.await(5_000, () -> failure("h1", request) == ErrorKind.OWNER_LOST);
+        }
+
+        /** Guards against a cut-off owner, which may still run the job, being reported as lost. */
+        @Test
+        void cutOffOwnerIsUnreachable() {
+            ForwardRequest request = submission(job("h2", cluster.incarnation("h2"), 1), "{}");
+            cluster.cut("h2", true);
+            assertThat(failure("h1", request)).isEqualTo(ErrorKind.OWNER_UNREACHABLE);
+        }
+
+        /** Guards against a forged job id making a host connect to an address outside the roster. */
+        @Test
+        void addressOutsideTheRosterIsNotContacted() {
+            JobId forged = new JobId(new HostId("x"), "127.0.0.1:1", new Incarnation(7), 0, 1, 0);
+            assertThat(failure("h1", submission(forged, "{}"))).isEqualTo(ErrorKind.OWNER_UNREACHABLE);
+        }
+
+        /** Guards against answers being lost in a planned stop, also when the successor stops later. */
+        @Test
+        void successorsAnswerFromTheArchive() throws Exception {
+            Incarnation gone = cluster.incarnation("h2");
+            JobId used = job("h2", gone, 1);
+            JobAnswer answer = new JobAnswer(used, JobState.COMPLETE, null, new JobCounts(0, 0, 0, 0, 0, 0), List.of());
+            JobArchive.Entry entry = new JobArchive.Entry(
+                    used, TEAM, Hashing.sha256().hashString("{}", StandardCharsets.UTF_8), answer, true);
+            HostId first = leave("h2", new JobArchive(gone, 0, 0, List.of(entry)));
+            String other = first.value().equals("h1") ? "h3" : "h1";
+            assertArchiveAnswers(first.value(), used);
+            assertArchiveAnswers(other, used);
+            JobArchive empty = new JobArchive(cluster.incarnation(first.value()), 0, 0, List.of());
+            assertThat(leave(first.value(), empty)).isEqualTo(new HostId(other));
+            assertArchiveAnswers(other, used);
+        }
+
+        private HostId leave(String host, JobArchive archive) throws Exception {
+            Optional<HostId> successor = cluster.host(host).leave(archive).blockingGet();
+            cluster.stop(host);
+            return successor.orElseThrow();
+        }
+
+        private void assertArchiveAnswers(String host, JobId used) {
+            ForwardReply known =
+                    cluster.host(host).forward(submission(used, "{}"), 3_000).blockingGet();
+            assertThat(known.httpStatus()).isEqualTo(200);
+            ForwardReply conflict =
+                    cluster.host(host).forward(submission(used, "{1}"), 3_000).blockingGet();
+            assertThat(new String(conflict.body(), StandardCharsets.UTF_8)).contains("JOB_ID_CONFLICT");
+            JobId unused = job("h2", used.incarnation(), 2);
+            ForwardReply missing =
+                    cluster.host(host).forward(submission(unused, "{}"), 3_000).blockingGet();
+            assertThat(new String(missing.body(), StandardCharsets.UTF_8)).contains("UNKNOWN_JOB", "not_run");
+        }
+    }
+
+    @Nested
+    class Loans {
+        /** Guards against unused quota of one host being out of reach of another that lacks it. */
+        @Test
+        void busyHostBorrowsAndTheLenderLowersItsShare() throws Exception {
+            cluster.startWithRoster();
+            StubDispatch busy = new StubDispatch(250);
+            StubDispatch idle = new StubDispatch(0);
+            cluster.host("h1").attach(busy);
+            cluster.host("h2").attach(idle);
+            cluster.host("h3").attach(new StubDispatch(0));
+            TestCluster.await(20_000, () -> busy.startsPerSecond() > 101);
+            TestCluster.await(20_000, () -> idle.startsPerSecond() < 99);
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/internal/ConfirmationTest.java
@@ -0,0 +1,72 @@
+package org.banyanspoke.daemon.control.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.Ticket;
+import org.banyanspoke.core.config.AcceptedTicket;
+import org.banyanspoke.core.config.ConfigTracker;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfirmationTest {
+    private long nowMillis;
+    private final ConfigHolder config = new ConfigHolder(new ConfigTracker(10));
+    private final Confirmation confirmation = new Confirmation(() -> nowMillis * 1_000_000, config);
+
+    private void accept() {
+        Ticket.Put put = new Ticket.Put(List.of(), List.of(), List.of(), List.of(), ClassShares.DEFAULT);
+        config.onPeerTicket(new AcceptedTicket(new Ticket(1, "t", "alice", put, null), 0));
+    }
+
+    private void pass(long millis) {
+        nowMillis += millis;
+        confirmation.tick();
+    }
+
+    @Nested
+    class Start {
+        /** Guards against a host that accepts work without any configuration. */
+        @Test
+        void hostWithoutConfigurationIsNeverReady() {
+            confirmation.onConfirmed();
+            for (int i = 0; i < 100; i++) {
+                pass(100);
+            }
+            assertThat(confirmation.readiness().ready()).isFalse();
+        }
+    }
+
+    @Nested
+    class Pause {
+        /** Guards against a host that slept through tickets starting work under an old configuration. */
+        @Test
+        void pausedHostWaitsForConfirmation() {
+            accept();
+            confirmation.onConfirmed();
+            pass(1_000);
+            assertThat(confirmation.readiness().ready()).isTrue();
+            pass(1_001);
+            assertThat(confirmation.readiness().ready()).isFalse();
+            pass(500);
+            assertThat(confirmation.readiness().ready()).isFalse();
+            confirmation.onConfirmed();
+            assertThat(confirmation.readiness().ready()).isTrue();
+        }
+
+        /** Guards against a partitioned host refusing work for ever. */
+        @Test
+        void partitionedHostServesAfterTwoSeconds() {
+            accept();
+            confirmation.onConfirmed();
+            pass(5_000);
+            for (int i = 0; i < 19; i++) {
+                pass(100);
+                assertThat(confirmation.readiness().ready()).isFalse();
+            }
+            pass(100);
+            assertThat(confirmation.readiness().ready()).isTrue();
+        }
+    }
+}
