--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
@@ -312,8 +312,9 @@
         }
         return Flowable.fromIterable(addresses)
                 .filter(address -> !address.equals(settings.peerAddress()))
-                .flatMapCompletable(
-                        address -> spread.pull(address).doOnError(ControlService::logFailure), true, Integer.MAX_VALUE);
+                .flatMapCompletable(address -> spread.pull(address)
+                        .doOnError(ControlService::logFailure)
+                        .onErrorComplete());
     }
 
     private Completable readHostListIfDue() {
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
@@ -188,6 +188,19 @@
             }
         }
 
+        /** Guards against a state at the design size that does not fit a message or changes on its way. */
+        @Test
+        void stateAtTheDesignSizeIsPulledWhole() throws Exception {
+            cluster.start("h1", cluster.log);
+            assertThat(cluster.append("h1", DesignSize.ticket(1))).isEqualTo(State.ACCEPTED);
+            FakeLog down = new FakeLog();
+            down.setDown(true);
+            cluster.start("h2", down);
+            cluster.awaitNumber("h2", 1);
+            assertThat(cluster.host("h2").config()).isEqualTo(cluster.host("h1").config());
+            assertThat(cluster.host("h2").config().servers()).hasSize(760);
+        }
+
         /** Guards against a host without any source of configuration accepting work. */
         @Test
         void hostWithoutSourceIsNotReady() throws Exception {
