Show a pause to other threads before the control thread runs

Cause: after a pause the threads that take work could see the readiness from before it. Change: readiness() also compares the clock with the control thread's last tick.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
@@ -75,6 +75,8 @@
     /** Peers asked at once when the configuration is missing or not confirmed. */
     private static final int PULL_TARGETS = 2;
 
+    private static final Readiness STALLED = Readiness.notReady("this process was paused");
+
     private final ControlSettings settings;
     private final PeerTransport transport;
     private final ScheduledExecutorService executor;
@@ -190,7 +192,7 @@
 
     @Override
     public Readiness readiness() {
-        return readiness;
+        return confirmation.isStalled() ? STALLED : readiness;
     }
 
     @Override
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/Confirmation.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/Confirmation.java
@@ -16,7 +16,7 @@
 
     private final MonotonicClock clock;
     private final ConfigHolder config;
-    private long lastTickMillis;
+    private volatile long lastTickMillis;
     private long resumedMillis;
     private boolean confirmed;
 
@@ -28,7 +28,7 @@
         this.clock = clock;
         this.config = config;
         this.lastTickMillis = clock.millis();
-        this.resumedMillis = lastTickMillis;
+        this.resumedMillis = clock.millis();
     }
 
     /**
@@ -57,6 +57,14 @@
         return confirmed;
     }
 
+    /**
+     * Returns whether the control thread has not run for longer than a pause. May be called from any thread: after a
+     * pause the threads that take work may run before the control thread does.
+     */
+    public boolean isStalled() {
+        return clock.millis() - lastTickMillis > PAUSE_MILLIS;
+    }
+
     /** Returns whether new work may be accepted. */
     public Readiness readiness() {
         if (config.state().number() == 0) {
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/internal/ConfirmationTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/internal/ConfirmationTest.java
@@ -55,6 +55,18 @@
             assertThat(confirmation.readiness().ready()).isTrue();
         }
 
+        /** Guards against work that other threads accept after a pause, before the control thread runs again. */
+        @Test
+        void pauseIsVisibleBeforeTheControlThreadRuns() {
+            accept();
+            confirmation.onConfirmed();
+            pass(1_000);
+            nowMillis += 1_000;
+            assertThat(confirmation.isStalled()).isFalse();
+            nowMillis += 1;
+            assertThat(confirmation.isStalled()).isTrue();
+        }
+
         /** Guards against a partitioned host refusing work for ever. */
         @Test
         void partitionedHostServesAfterTwoSeconds() {
