Forward requests for jobs of other processes, serve forwarded ones

The callers' routes pass a request on when the job id names another incarnation; the owner answers with the same response table.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -9,6 +10,8 @@
 import java.time.Clock;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.api.ids.ZoneId;
@@ -24,6 +27,8 @@
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
+import org.banyanspoke.daemon.control.ForwardReply;
+import org.banyanspoke.daemon.control.ForwardRequest;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
@@ -74,8 +79,8 @@
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
         this.drain = new DrainCoordinator(
                 trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, Future::succeededFuture);
-        this.callers =
-                HttpServices.callers(trafficVertx, settings.callers(), callerLoops, control, dispatch, this, metrics);
+        this.callers = HttpServices.callers(
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, Daemon::unreachable, this, metrics);
         register(metrics);
     }
 
@@ -183,6 +188,11 @@
         return drain.hasFailed() ? ExitCode.STOP_FAILED : ExitCode.OK;
     }
 
+    private static Single<ForwardReply> unreachable(ForwardRequest request, long timeoutMillis) {
+        return Single.error(new DispatchException(
+                ErrorKind.OWNER_UNREACHABLE, "the owner of job " + request.jobId() + " cannot be reached"));
+    }
+
     private static void logCloseFailure(Throwable e) {
         LOG.event(Logger.Level.WARN, "event loops did not close").cause(e).write();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
@@ -3,11 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonUnwrapped;
 import io.reactivex.rxjava3.core.Single;
-import io.reactivex.rxjava3.disposables.Disposable;
-import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Collection;
@@ -156,14 +152,14 @@
 
     private Future<HttpAnswer> tickets(HttpCall call) throws DispatchException {
         int limit = (int) call.integer("limit", DEFAULT_TICKETS, 1, MAX_TICKETS);
-        return toFuture(control.latestTickets(limit)).map(list -> HttpAnswer.of(HttpAnswer.OK, list));
+        return RxFutures.toFuture(control.latestTickets(limit)).map(list -> HttpAnswer.of(HttpAnswer.OK, list));
     }
 
     private Future<HttpAnswer> ticket(HttpCall call) throws DispatchException {
         long number = ticketNumber(call.path("number"));
         Single<Optional<Ticket>> found =
                 control.ticket(number).map(Optional::of).defaultIfEmpty(Optional.empty());
-        return toFuture(found)
+        return RxFutures.toFuture(found)
                 .compose(ticket -> ticket.map(AdminRoutes::ok)
                         .orElseGet(() -> Future.failedFuture(new DispatchException(
                                 ErrorKind.UNKNOWN_OBJECT, "this host knows no accepted ticket " + number))));
@@ -184,7 +180,7 @@
                 .with("ticket", ticket.number())
                 .with("ticketId", ticket.ticketId())
                 .write();
-        return toFuture(control.appendTicket(ticket)).compose(AdminRoutes::appended);
+        return RxFutures.toFuture(control.appendTicket(ticket)).compose(AdminRoutes::appended);
     }
 
     private static Future<HttpAnswer> appended(TicketOutcome outcome) {
@@ -211,15 +207,4 @@
     private static <T> Future<HttpAnswer> sorted(Collection<T> objects, Function<T, String> key) {
         return ok(objects.stream().sorted(Comparator.comparing(key)).toList());
     }
-
-    /** Delivers on the event loop of the request; the control plane delivers on its own thread. */
-    private static <T> Future<T> toFuture(Single<T> single) {
-        Context origin = Vertx.currentContext();
-        Promise<T> promise = Promise.promise();
-        Disposable subscription = single.subscribe(
-                value -> origin.runOnContext(unused -> promise.complete(value)),
-                error -> origin.runOnContext(unused -> promise.fail(error)));
-        promise.future().onComplete(unused -> subscription.dispose());
-        return promise.future();
-    }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AnswerWriter.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AnswerWriter.java
@@ -41,9 +41,7 @@
         }
         Buffer body;
         try {
-            body = answer.body() == null
-                    ? Buffer.buffer()
-                    : Buffer.buffer(Json.mapper().writeValueAsBytes(answer.body()));
+            body = encode(answer.body());
         } catch (JsonProcessingException e) {
             writeError(request, e);
             return;
@@ -61,6 +59,14 @@
         }
     }
 
+    private static Buffer encode(Object body) throws JsonProcessingException {
+        if (body == null) {
+            return Buffer.buffer();
+        }
+        return Buffer.buffer(
+                body instanceof byte[] bytes ? bytes : Json.mapper().writeValueAsBytes(body));
+    }
+
     /** Writes the response for an exception; one without a kind is a fault of the daemon. */
     void writeError(HttpServerRequest request, Throwable e) {
         DispatchException known = e instanceof DispatchException expected ? expected : internal(request, e);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
@@ -4,15 +4,12 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.ext.web.RoutingContext;
 import java.util.List;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.errors.RefusedException;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
-import org.banyanspoke.api.job.JobAnswer;
-import org.banyanspoke.api.job.JobState;
 import org.banyanspoke.daemon.jobs.JobBody;
 import org.banyanspoke.daemon.jobs.LocalJobs;
 
@@ -27,15 +24,18 @@
 
     private final TeamAuthenticator authenticator;
     private final LocalJobs jobs;
+    private final OwnerForwarding owners;
     private final BooleanSupplier ready;
 
     /**
-     * @param jobs jobs of this host and, by forwarding, of others
+     * @param jobs jobs of this process
+     * @param owners passes requests for other jobs on
      * @param ready what the readiness route reports
      */
-    CallerRoutes(TeamAuthenticator authenticator, LocalJobs jobs, BooleanSupplier ready) {
+    CallerRoutes(TeamAuthenticator authenticator, LocalJobs jobs, OwnerForwarding owners, BooleanSupplier ready) {
         this.authenticator = authenticator;
         this.jobs = jobs;
+        this.owners = owners;
         this.ready = ready;
     }
 
@@ -75,31 +75,31 @@
 
     private Future<HttpAnswer> submitNew(HttpCall call) throws DispatchException {
         JobBody body = JobBody.parse(call.body());
-        return jobs.submitNew(team(call), body, call.flag("wait", true)).map(CallerRoutes::submitted);
+        return jobs.submitNew(team(call), body, call.flag("wait", true)).map(JobAnswers::submitted);
     }
 
     private Future<HttpAnswer> submit(HttpCall call) throws DispatchException {
         JobId jobId = jobId(call);
         JobBody body = JobBody.parse(call.body());
-        return jobs.submit(team(call), jobId, body, call.flag("wait", true)).map(CallerRoutes::submitted);
+        boolean wait = call.flag("wait", true);
+        return owners.isOwn(jobId)
+                ? jobs.submit(team(call), jobId, body, wait).map(JobAnswers::submitted)
+                : owners.submit(team(call), jobId, call.body(), body.request().batch(), wait);
     }
 
     private Future<HttpAnswer> status(HttpCall call) throws DispatchException {
+        JobId jobId = jobId(call);
         long waitMillis = call.integer("waitMillis", 0, 0, MAX_WAIT_MILLIS);
-        return jobs.status(team(call), jobId(call), waitMillis).map(answer -> answer(HttpAnswer.OK, answer));
+        return owners.isOwn(jobId)
+                ? jobs.status(team(call), jobId, waitMillis).map(JobAnswers::status)
+                : owners.status(team(call), jobId, waitMillis);
     }
 
     private Future<HttpAnswer> cancel(HttpCall call) throws DispatchException {
-        return jobs.cancel(team(call), jobId(call)).map(answer -> HttpAnswer.of(HttpAnswer.OK, answer));
-    }
-
-    private static HttpAnswer submitted(JobAnswer answer) {
-        return answer(answer.state() == JobState.RUNNING ? HttpAnswer.ACCEPTED : HttpAnswer.OK, answer);
-    }
-
-    private static HttpAnswer answer(int status, JobAnswer answer) {
-        int actual = answer.state() == JobState.FAILED ? answer.error().kind().httpStatus() : status;
-        return new HttpAnswer(actual, Map.of("Job-Id", answer.jobId().toString()), answer);
+        JobId jobId = jobId(call);
+        return owners.isOwn(jobId)
+                ? jobs.cancel(team(call), jobId).map(JobAnswers::cancelled)
+                : owners.cancel(team(call), jobId);
     }
 
     private static TeamId team(HttpCall call) {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/ErrorAnswers.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/ErrorAnswers.java
@@ -23,15 +23,13 @@
         return new HttpAnswer(e.kind().httpStatus(), headers(e), new Body(ErrorBody.of(e)));
     }
 
-    /** Returns the response for a refusal that a later try may overcome. */
     private static Map<String, String> headers(DispatchException e) {
         Map<String, String> headers = new LinkedHashMap<>();
         if (closesConnection(e.kind())) {
             headers.put("Connection", "close");
         }
-        if (e instanceof RefusedException refused && refused.retryAfterMillis() > 0) {
-            long seconds = LongMath.divide(refused.retryAfterMillis(), MILLIS_PER_SECOND, RoundingMode.CEILING);
-            headers.put("Retry-After", Long.toString(seconds));
+        if (e instanceof RefusedException refused) {
+            putRetryAfter(headers, refused.retryAfterMillis());
         }
         if (e.kind() == ErrorKind.UNAUTHENTICATED) {
             headers.put("WWW-Authenticate", "Bearer");
@@ -39,6 +37,14 @@
         return headers;
     }
 
+    /** Adds the header in whole seconds, rounded up; 0 milliseconds add none. */
+    static void putRetryAfter(Map<String, String> headers, long retryAfterMillis) {
+        if (retryAfterMillis > 0) {
+            long seconds = LongMath.divide(retryAfterMillis, MILLIS_PER_SECOND, RoundingMode.CEILING);
+            headers.put("Retry-After", Long.toString(seconds));
+        }
+    }
+
     /** A draining host sends callers elsewhere; after an incomplete body the connection has no defined state. */
     static boolean closesConnection(ErrorKind kind) {
         return switch (kind) {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpAnswer.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpAnswer.java
@@ -7,7 +7,7 @@
  *
  * @param status HTTP status
  * @param headers headers besides content type and length
- * @param body value to write as JSON; null for an empty body
+ * @param body value to write as JSON, or JSON as bytes; null for an empty body
  */
 record HttpAnswer(int status, Map<String, String> headers, Object body) {
     static final int OK = 200;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import org.banyanspoke.daemon.control.ControlPlane;
+import org.banyanspoke.daemon.control.JobForwarder;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.LocalJobs;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
@@ -22,7 +23,8 @@
      * Returns the service of the callers' port.
      *
      * @param eventLoops event loops that parse requests
-     * @param jobs jobs of this host and, by forwarding, of others
+     * @param jobs jobs of this process
+     * @param forwarder reaches the jobs of others
      */
     public static HttpService callers(
             Vertx vertx,
@@ -30,11 +32,16 @@
             int eventLoops,
             ControlPlane control,
             LocalJobs jobs,
+            JobForwarder forwarder,
             HostStatus host,
             DaemonMetrics metrics) {
         HttpService.Options options = new HttpService.Options(
                 settings.address(), eventLoops, settings.maxBodyBytes(), settings.bodyTimeoutMillis());
-        CallerRoutes routes = new CallerRoutes(new TeamAuthenticator(control::config), jobs, host::ready);
+        CallerRoutes routes = new CallerRoutes(
+                new TeamAuthenticator(control::config),
+                jobs,
+                new OwnerForwarding(host.incarnation(), forwarder, control::config),
+                host::ready);
         return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
     }
 
