--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -0,0 +1,200 @@
+package org.banyanspoke.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import com.google.common.net.HostAndPort;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.config.BackendServerConfig;
+import org.banyanspoke.api.config.BatchConfig;
+import org.banyanspoke.api.config.ClassShares;
+import org.banyanspoke.api.config.EntryHostConfig;
+import org.banyanspoke.api.config.ServerState;
+import org.banyanspoke.api.config.TeamConfig;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.ids.BatchId;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.config.ConfigState;
+import org.banyanspoke.core.dispatch.DispatchEvents;
+import org.banyanspoke.core.dispatch.Dispatcher;
+import org.banyanspoke.core.dispatch.DispatcherSettings;
+import org.banyanspoke.core.dispatch.Dispatchers;
+import org.banyanspoke.core.dispatch.TaskTransport;
+import org.banyanspoke.core.identity.ProcessIdentity;
+import org.banyanspoke.core.quota.QuotaLendings;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.daemon.backend.BackendClient;
+import org.banyanspoke.daemon.http.HostStatus;
+import org.banyanspoke.daemon.http.HttpService;
+import org.banyanspoke.daemon.http.HttpServices;
+import org.banyanspoke.daemon.jobs.DispatchService;
+import org.banyanspoke.daemon.jobs.DispatchThread;
+import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.settings.Settings;
+import org.banyanspoke.kernel.Kernel;
+import org.jboss.logging.Logger;
+
+/** The daemon's services in the test process: both HTTP ports, a real dispatcher and backend client, a stub control plane. */
+public final class TestHost implements HostStatus, AutoCloseable {
+    public static final int MAX_BODY_BYTES = 100_000;
+    public static final long BODY_TIMEOUT_MILLIS = 300;
+
+    private static final HostId HOST = new HostId("h1");
+    private static final ZoneId ZONE = new ZoneId("z1");
+    private static final HostAndPort ANY_PORT = HostAndPort.fromString("127.0.0.1:0");
+
+    private final MonotonicClock clock = System::nanoTime;
+    private final Vertx vertx = Vertx.vertx();
+    private final Vertx dispatchVertx = Vertx.vertx();
+    private final Incarnation incarnation = new Incarnation(7);
+    private final Kernel kernel = new Kernel();
+    private final HttpService callers;
+    private final HttpService admin;
+
+    /** The jobs of this host. */
+    public final DispatchService dispatch;
+
+    /** Set by the operators' drain route. */
+    public volatile boolean drainRequested;
+
+    public TestHost(String backendAddress) throws Exception {
+        DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
+        StubControl control = new StubControl(config(backendAddress));
+        DispatchThread thread = new DispatchThread(dispatchVertx.getOrCreateContext());
+        BackendClient backend = new BackendClient(dispatchVertx, thread.context(), clock);
+        dispatch = new DispatchService(
+                dispatchVertx, thread, backend, this::createDispatcher, new HostGate(control::readiness), metrics);
+        callers = HttpServices.callers(
+                vertx,
+                settings().callers(),
+                1,
+                control,
+                dispatch,
+                (request, timeoutMillis) ->
+                        Single.error(new DispatchException(ErrorKind.OWNER_UNREACHABLE, "no other host in this test")),
+                this,
+                metrics);
+        admin = HttpServices.admin(vertx, settings(), this, control, dispatch, metrics);
+        kernel.register(DispatchService.NAME, dispatch);
+        kernel.register(
+                ConfigLink.NAME,
+                new ConfigLink(
+                        control,
+                        dispatch,
+                        QuotaLendings.halfOfUnused(HOST, clock, RandomSource.XO_RO_SHI_RO_128_PP.create())));
+        kernel.register(HttpServices.CALLERS, callers);
+        kernel.register(HttpServices.ADMIN, admin);
+        kernel.start();
+    }
+
+    public int callersPort() {
+        return callers.port();
+    }
+
+    public int adminPort() {
+        return admin.port();
+    }
+
+    @Override
+    public HostId host() {
+        return HOST;
+    }
+
+    @Override
+    public ZoneId zone() {
+        return ZONE;
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return incarnation;
+    }
+
+    @Override
+    public boolean ready() {
+        return true;
+    }
+
+    @Override
+    public boolean draining() {
+        return drainRequested;
+    }
+
+    @Override
+    public void requestDrain() {
+        drainRequested = true;
+    }
+
+    @Override
+    public void close() {
+        kernel.stop();
+        vertx.close().onFailure(e -> Logger.getLogger(TestHost.class).warn("event loops did not close", e));
+    }
+
+    private Dispatcher createDispatcher(TaskTransport transport, DispatchEvents events) {
+        return Dispatchers.create(
+                new ProcessIdentity(HOST, "127.0.0.1:1", incarnation),
+                new byte[32],
+                clock,
+                Clock.systemUTC(),
+                Dispatchers.baselineQueue(),
+                Dispatchers.baselinePool(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+                transport,
+                events,
+                DispatcherSettings.DEFAULT);
+    }
+
+    private static Settings settings() {
+        return new Settings(
+                new Settings.Host(HOST, ZONE, "r1"),
+                new Settings.Callers(ANY_PORT, MAX_BODY_BYTES, BODY_TIMEOUT_MILLIS),
+                new Settings.Admin(ANY_PORT, Map.of("alice", sha256("operator-token"))),
+                new Settings.Peer(HostAndPort.fromString("127.0.0.1:1"), List.of()),
+                ANY_PORT,
+                ANY_PORT,
+                0,
+                Settings.Policy.BASELINE,
+                Logger.Level.INFO);
+    }
+
+    private static ConfigState config(String backendAddress) {
+        BackendServerConfig server = new BackendServerConfig(
+                new ServerId("s1"), ZONE, "r1", backendAddress, 8, 64, Set.of(), ServerState.IN_SERVICE);
+        BatchConfig batch = new BatchConfig(
+                new BatchId("b1"),
+                new TeamId("red"),
+                UrgencyClass.NORMAL,
+                Instant.now().plusSeconds(3_600),
+                20_000,
+                Set.of(),
+                Set.of());
+        return new ConfigState(
+                1,
+                Map.of(new TeamId("red"), team("red"), new TeamId("blue"), team("blue")),
+                Map.of(batch.id(), batch),
+                Map.of(server.id(), server),
+                Map.of(HOST, new EntryHostConfig(HOST, ZONE, "127.0.0.1:1")),
+                ClassShares.DEFAULT);
+    }
+
+    private static TeamConfig team(String name) {
+        return new TeamConfig(new TeamId(name), 1, 1_000_000, 100_000, sha256(name + "-token"));
+    }
+
+    private static String sha256(String text) {
+        return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+    }
+}
