Wire forwarding, handover and quota loans into the daemon

Merges the control service with its new constructor. A drained host hands its records to a successor; quota shares now come only from the control plane.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/ConfigLink.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/ConfigLink.java
@@ -2,8 +2,6 @@
 
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import org.banyanspoke.core.config.ConfigState;
-import org.banyanspoke.core.quota.QuotaLending;
-import org.banyanspoke.core.quota.QuotaShares;
 import org.banyanspoke.daemon.control.ControlPlane;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.logging.EventLog;
@@ -12,7 +10,10 @@
 import org.banyanspoke.kernel.ServiceName;
 import org.jboss.logging.Logger;
 
-/** Hands immutable snapshots of control state over from the control thread to the dispatch thread. */
+/**
+ * Hands immutable snapshots of control state over from the control thread to the dispatch thread. Quota shares go their own
+ * way, because a lender must know when they are in force.
+ */
 final class ConfigLink implements Service {
     static final ServiceName<ConfigLink> NAME = new ServiceName<>("config-link", ConfigLink.class);
 
@@ -20,15 +21,11 @@
 
     private final ControlPlane control;
     private final DispatchService dispatch;
-    /** Control thread only. */
-    private final QuotaLending quotas;
-
     private final CompositeDisposable subscriptions = new CompositeDisposable();
 
-    ConfigLink(ControlPlane control, DispatchService dispatch, QuotaLending quotas) {
+    ConfigLink(ControlPlane control, DispatchService dispatch) {
         this.control = control;
         this.dispatch = dispatch;
-        this.quotas = quotas;
     }
 
     @Override
@@ -46,10 +43,7 @@
     }
 
     private void onConfig(ConfigState config) {
-        quotas.configure(config);
-        QuotaShares shares = quotas.shares();
         dispatch.configure(config);
-        dispatch.run(dispatcher -> dispatcher.setQuotaShares(shares));
         LOG.event(Logger.Level.INFO, "a configuration is in force")
                 .with("configNumber", config.number())
                 .write();
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -1,7 +1,6 @@
 package org.banyanspoke.daemon;
 
 import com.codahale.metrics.MetricRegistry;
-import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -10,8 +9,6 @@
 import java.time.Clock;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.banyanspoke.api.errors.DispatchException;
-import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.api.ids.ZoneId;
@@ -21,24 +18,28 @@
 import org.banyanspoke.core.dispatch.Dispatchers;
 import org.banyanspoke.core.dispatch.TaskTransport;
 import org.banyanspoke.core.identity.ProcessIdentity;
-import org.banyanspoke.core.quota.QuotaLendings;
 import org.banyanspoke.core.routing.ServerPools;
 import org.banyanspoke.core.schedule.TaskQueues;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
-import org.banyanspoke.daemon.control.ForwardReply;
-import org.banyanspoke.daemon.control.ForwardRequest;
+import org.banyanspoke.daemon.control.ControlSettings;
+import org.banyanspoke.daemon.http.ForwardedJobs;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.DispatchThread;
+import org.banyanspoke.daemon.jobs.RxFutures;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
+import org.banyanspoke.peer.FrameFilter;
+import org.banyanspoke.peer.PeerTransport;
+import org.banyanspoke.peer.TransportLimits;
 import org.jboss.logging.Logger;
 
 /** One entry host process: creates and registers the services, starts them and waits for the planned stop. */
@@ -77,10 +78,11 @@
         this.control = createControl();
         this.gate = new HostGate(control::readiness);
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
-        this.drain = new DrainCoordinator(
-                trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, Future::succeededFuture);
+        this.drain =
+                new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
         this.callers = HttpServices.callers(
-                trafficVertx, settings.callers(), callerLoops, control, dispatch, Daemon::unreachable, this, metrics);
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, control::forward, this, metrics);
+        control.attach(new ForwardedJobs(dispatch));
         register(metrics);
     }
 
@@ -133,8 +135,19 @@
 
     private ControlService createControl() {
         io.vertx.rxjava3.core.Vertx rxVertx = io.vertx.rxjava3.core.Vertx.newInstance(trafficVertx);
+        ControlSettings controlSettings = new ControlSettings(
+                identity.host(),
+                identity.incarnation(),
+                settings.host().zone(),
+                identity.peerAddress(),
+                settings.peer().seeds().stream().map(Object::toString).toList());
         return new ControlService(
-                new HttpLogClient(rxVertx, settings.logAddress().toString()), clock);
+                controlSettings,
+                new HttpLogClient(rxVertx, settings.logAddress().toString()),
+                new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
     }
 
     private DispatchService createDispatch(DispatchEvents events) {
@@ -160,10 +173,7 @@
     private void register(DaemonMetrics metrics) {
         kernel.register(DispatchService.NAME, dispatch);
         kernel.register(ControlService.NAME, control);
-        UniformRandomProvider quotaRandom = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        kernel.register(
-                ConfigLink.NAME,
-                new ConfigLink(control, dispatch, QuotaLendings.halfOfUnused(host(), clock, quotaRandom)));
+        kernel.register(ConfigLink.NAME, new ConfigLink(control, dispatch));
         kernel.register(HttpServices.CALLERS, callers);
         kernel.register(
                 HttpServices.ADMIN, HttpServices.admin(trafficVertx, settings, this, control, dispatch, metrics));
@@ -174,6 +184,17 @@
         return dispatch.drain();
     }
 
+    private Future<Void> handOver() {
+        return dispatch.ask(Dispatcher::archive)
+                .compose(archive -> RxFutures.toFuture(control.leave(archive)))
+                .map(successor -> {
+                    LOG.event(Logger.Level.INFO, "planned stop: records are handed over")
+                            .with("successor", successor.map(HostId::value).orElse("none"))
+                            .write();
+                    return null;
+                });
+    }
+
     private ExitCode awaitPlannedStop() {
         try {
             drain.awaitEnd();
@@ -188,11 +209,6 @@
         return drain.hasFailed() ? ExitCode.STOP_FAILED : ExitCode.OK;
     }
 
-    private static Single<ForwardReply> unreachable(ForwardRequest request, long timeoutMillis) {
-        return Single.error(new DispatchException(
-                ErrorKind.OWNER_UNREACHABLE, "the owner of job " + request.jobId() + " cannot be reached"));
-    }
-
     private static void logCloseFailure(Throwable e) {
         LOG.event(Logger.Level.WARN, "event loops did not close").cause(e).write();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
@@ -29,6 +29,7 @@
 import org.banyanspoke.daemon.control.TicketOutcome;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.JobBody;
+import org.banyanspoke.daemon.jobs.RxFutures;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
 import org.jboss.logging.Logger;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/OwnerForwarding.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/OwnerForwarding.java
@@ -14,6 +14,7 @@
 import org.banyanspoke.daemon.control.ForwardRequest;
 import org.banyanspoke.daemon.control.ForwardRequest.Action;
 import org.banyanspoke.daemon.control.JobForwarder;
+import org.banyanspoke.daemon.jobs.RxFutures;
 
 /** Passes requests for jobs of other processes on to their owners. */
 final class OwnerForwarding {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RxFutures.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/RxFutures.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.http;
+package org.banyanspoke.daemon.jobs;
 
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -8,11 +8,11 @@
 import io.vertx.core.Vertx;
 
 /** Turns results of the control plane into futures of Vert.x. */
-final class RxFutures {
+public final class RxFutures {
     private RxFutures() {}
 
-    /** Delivers on the caller's event loop; the control plane delivers on its own threads. */
-    static <T> Future<T> toFuture(Single<T> single) {
+    /** Delivers on the caller's event loop, on which it must be called; the control plane delivers on its own threads. */
+    public static <T> Future<T> toFuture(Single<T> single) {
         Context origin = Vertx.currentContext();
         Promise<T> promise = Promise.promise();
         Disposable subscription = single.subscribe(
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -34,6 +34,7 @@
 import org.banyanspoke.core.dispatch.Dispatchers;
 import org.banyanspoke.core.dispatch.TaskTransport;
 import org.banyanspoke.core.identity.ProcessIdentity;
+import org.banyanspoke.core.quota.QuotaLending;
 import org.banyanspoke.core.quota.QuotaLendings;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
@@ -89,15 +90,13 @@
                 metrics);
         admin = HttpServices.admin(vertx, settings(), this, control, dispatch, metrics);
         kernel.register(DispatchService.NAME, dispatch);
-        kernel.register(
-                ConfigLink.NAME,
-                new ConfigLink(
-                        control,
-                        dispatch,
-                        QuotaLendings.halfOfUnused(HOST, clock, RandomSource.XO_RO_SHI_RO_128_PP.create())));
+        kernel.register(ConfigLink.NAME, new ConfigLink(control, dispatch));
         kernel.register(HttpServices.CALLERS, callers);
         kernel.register(HttpServices.ADMIN, admin);
         kernel.start();
+        QuotaLending quotas = QuotaLendings.halfOfUnused(HOST, clock, RandomSource.XO_RO_SHI_RO_128_PP.create());
+        quotas.configure(control.config());
+        dispatch.run(dispatcher -> dispatcher.setQuotaShares(quotas.shares()));
     }
 
     public int callersPort() {
