--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
@@ -160,8 +160,8 @@
             }
         }
         release(connection);
-        end(attempt, reply);
         serve();
+        end(attempt, reply);
     }
 
     private void sendStop(ServerConnection connection, Attempt attempt) {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -88,6 +88,7 @@
                     .setHost(options.address().getHost())
                     .setPort(options.address().getPort())
                     .setHttp2ClearTextEnabled(false)
+                    .setHandle100ContinueAutomatically(true)
                     .setTcpNoDelay(true);
             HttpServer server = vertx.createHttpServer(serverOptions).requestHandler(router);
             server.listen()
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
@@ -199,13 +199,18 @@
         }
     }
 
-    /** A fault in one tick must not end the ticks: deadlines of all jobs depend on them. */
     private void tick() {
+        tick("backend client", backend::tick);
+        tick("dispatcher", dispatcher::tick);
+    }
+
+    /** A fault in one tick must not end the ticks: deadlines of all jobs depend on them. */
+    private static void tick(String part, Runnable task) {
         try {
-            backend.tick();
-            dispatcher.tick();
+            task.run();
         } catch (RuntimeException e) {
-            LOG.event(Logger.Level.ERROR, "tick of the dispatcher failed")
+            LOG.event(Logger.Level.ERROR, "a tick failed")
+                    .with("part", part)
                     .cause(e)
                     .write();
         }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatcherFactory.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatcherFactory.java
@@ -7,6 +7,6 @@
 /** Creates the dispatcher of a process. */
 @FunctionalInterface
 public interface DispatcherFactory {
-    /** Returns a dispatcher with the empty configuration. Called on the dispatch thread. */
+    /** Returns a dispatcher with the empty configuration. Called once, before the dispatch thread uses it. */
     Dispatcher create(TaskTransport transport, DispatchEvents events);
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/WindowReservoir.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/WindowReservoir.java
@@ -58,6 +58,11 @@
         return new WindowSnapshot(sum);
     }
 
+    /** Returns the approximate memory of both windows. */
+    synchronized int footprintBytes() {
+        return present.getEstimatedFootprintInBytes() + previous.getEstimatedFootprintInBytes();
+    }
+
     private void rotate() {
         long ageNanos = clock.nanos() - presentSinceNanos;
         if (ageNanos < WINDOW_NANOS) {
