--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -18,18 +18,19 @@
 import org.banyanspoke.core.dispatch.Dispatchers;
 import org.banyanspoke.core.dispatch.TaskTransport;
 import org.banyanspoke.core.identity.ProcessIdentity;
-import org.banyanspoke.core.quota.QuotaLendings;
 import org.banyanspoke.core.routing.ServerPools;
 import org.banyanspoke.core.schedule.TaskQueues;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
 import org.banyanspoke.daemon.control.ControlSettings;
+import org.banyanspoke.daemon.http.ForwardedJobs;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.DispatchThread;
+import org.banyanspoke.daemon.jobs.RxFutures;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
 import org.banyanspoke.daemon.platform.HttpHostListClient;
@@ -79,10 +80,11 @@
         this.control = createControl();
         this.gate = new HostGate(control::readiness);
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
-        this.drain = new DrainCoordinator(
-                trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, Future::succeededFuture);
-        this.callers =
-                HttpServices.callers(trafficVertx, settings.callers(), callerLoops, control, dispatch, this, metrics);
+        this.drain =
+                new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
+        this.callers = HttpServices.callers(
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, control::forward, this, metrics);
+        control.attach(new ForwardedJobs(dispatch));
         register(metrics);
     }
 
@@ -173,10 +175,7 @@
     private void register(DaemonMetrics metrics) {
         kernel.register(DispatchService.NAME, dispatch);
         kernel.register(ControlService.NAME, control);
-        UniformRandomProvider quotaRandom = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        kernel.register(
-                ConfigLink.NAME,
-                new ConfigLink(control, dispatch, QuotaLendings.halfOfUnused(host(), clock, quotaRandom)));
+        kernel.register(ConfigLink.NAME, new ConfigLink(control, dispatch));
         kernel.register(HttpServices.CALLERS, callers);
         kernel.register(
                 HttpServices.ADMIN, HttpServices.admin(trafficVertx, settings, this, control, dispatch, metrics));
@@ -187,6 +186,17 @@
         return dispatch.drain();
     }
 
+    private Future<Void> handOver() {
+        return dispatch.ask(Dispatcher::archive)
+                .compose(archive -> RxFutures.toFuture(control.leave(archive)))
+                .map(successor -> {
+                    LOG.event(Logger.Level.INFO, "planned stop: records are handed over")
+                            .with("successor", successor.map(HostId::value).orElse("none"))
+                            .write();
+                    return null;
+                });
+    }
+
     private ExitCode awaitPlannedStop() {
         try {
             drain.awaitEnd();
