--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
@@ -152,7 +152,9 @@
         contracts.checkTeam(config, team);
         if (register.isFull()) {
             throw new RefusedException(
-                    ErrorKind.OVERLOADED, "this host holds " + register.size() + " records of used job ids, the limit", Generations.LENGTH_NANOS / 1_000_000);
+                    ErrorKind.OVERLOADED,
+                    "this host holds " + register.size() + " records of used job ids, the limit",
+                    Generations.LENGTH_NANOS / 1_000_000);
         }
     }
 
