Test the dispatcher's rules one by one

Cause: a random history says that a rule is broken, not which one. Change: tests of whole-or-failed jobs, moves, resubmissions, configuration changes, admission and draining.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -1,24 +1,67 @@
 package org.banyanspoke.core.dispatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
+import org.banyanspoke.api.errors.DispatchException;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.Execution;
+import org.banyanspoke.api.ids.BatchId;
+import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.job.JobAnswer;
+import org.banyanspoke.api.job.JobCounts;
+import org.banyanspoke.api.job.JobRequest;
 import org.banyanspoke.api.job.JobState;
+import org.banyanspoke.core.config.ConfigState;
 import org.banyanspoke.core.dispatch.AttemptResult.Outcome;
 import org.banyanspoke.core.dispatch.DispatcherFixture.Caller;
+import org.banyanspoke.core.identity.JobArchive;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class DispatcherTest {
     private final DispatcherFixture fixture = DispatcherFixture.configured();
+    private final Dispatcher dispatcher = fixture.dispatcher;
     private final FakeTransport transport = fixture.transport;
 
+    private Caller submit(int tasks, boolean idempotent) throws Exception {
+        return fixture.submit(fixture.reserve(), DispatcherFixture.job(tasks, idempotent));
+    }
+
+    private static void assertFailed(Caller caller, ErrorKind kind, JobCounts counts) {
+        JobAnswer answer = caller.only();
+        assertThat(answer.state()).isEqualTo(JobState.FAILED);
+        assertThat(answer.error().kind()).isEqualTo(kind);
+        assertThat(answer.counts()).isEqualTo(counts);
+        assertThat(answer.tasks()).isEmpty();
+    }
+
+    private static void assertThrowsKind(ThrowingCallable call, ErrorKind kind) {
+        assertThatThrownBy(call)
+                .isInstanceOfSatisfying(
+                        DispatchException.class, e -> assertThat(e.kind()).isEqualTo(kind));
+    }
+
+    private void assertRefused(JobRequest request, ErrorKind kind) throws Exception {
+        JobId id = fixture.reserve();
+        int started = transport.started.size();
+        assertThrowsKind(() -> fixture.submit(id, request), kind);
+        assertThat(kind.execution()).isEqualTo(Execution.NOT_RUN);
+        assertThat(transport.started).hasSize(started);
+        assertThrowsKind(() -> dispatcher.status(DispatcherFixture.TEAM, id), ErrorKind.UNKNOWN_JOB);
+    }
+
     @Nested
-    class CompleteJobs {
+    class WholeOrFailed {
         /** Guards against results that are lost or out of order when there are more tasks than slots. */
         @Test
         void answerHasAllResultsInOrder() throws Exception {
-            Caller caller = fixture.submit(fixture.reserve(), DispatcherFixture.job(50, false));
+            Caller caller = submit(50, false);
             transport.answerAll(Outcome.DONE);
             JobAnswer answer = caller.only();
             assertThat(answer.state()).isEqualTo(JobState.COMPLETE);
@@ -26,5 +69,251 @@
             assertThat(answer.tasks().get(49).result()).startsWith("result of t49 ");
             assertThat(transport.started).hasSize(50);
         }
+
+        /** Guards against tasks that start or run on after their job has failed. */
+        @Test
+        void failedTaskEndsTheJob() throws Exception {
+            Caller caller = submit(20, false);
+            transport.answerOldest(Outcome.DONE);
+            transport.answerOldest(Outcome.FAILED);
+            assertFailed(caller, ErrorKind.TASK_FAILED, new JobCounts(0, 0, 1, 1, 15, 3));
+            assertThat(transport.stopped).containsExactlyInAnyOrderElementsOf(transport.open.keySet());
+            transport.answerAll(Outcome.DONE);
+            assertThat(transport.started).hasSize(17);
+            assertThat(caller.answers).hasSize(1);
+            assertThat(dispatcher.stats().tasksInFlight()).isZero();
+        }
+
+        /** Guards against a late result that completes a job after its promise, when a pause has delayed the tick. */
+        @Test
+        void resultAfterTheDeadlineDoesNotCount() throws Exception {
+            Caller caller = submit(1, false);
+            fixture.pauseMillis(DispatcherFixture.PROMISE_MILLIS);
+            transport.answerOldest(Outcome.DONE);
+            assertFailed(caller, ErrorKind.DEADLINE_EXCEEDED, new JobCounts(0, 0, 0, 0, 1, 0));
+        }
+
+        /** Guards against a lease that outlives the promise. */
+        @Test
+        void leaseEndsWithTheDeadline() throws Exception {
+            submit(17, false);
+            fixture.advanceMillis(400);
+            transport.answerOldest(Outcome.DONE);
+            assertThat(transport.started.get(0).leaseMillis()).isEqualTo(1_000);
+            assertThat(transport.started.get(16).leaseMillis()).isEqualTo(600);
+        }
+
+        /** Guards against state that is half changed when a caller submits again from its callback. */
+        @Test
+        void callerMaySubmitFromItsCallback() throws Exception {
+            List<Caller> second = new ArrayList<>();
+            dispatcher.submit(
+                    DispatcherFixture.submission(fixture.reserve(), DispatcherFixture.job(1, false)),
+                    answer -> second.add(submitUnchecked()));
+            transport.answerAll(Outcome.DONE);
+            assertThat(second.get(0).only().state()).isEqualTo(JobState.COMPLETE);
+        }
+
+        private Caller submitUnchecked() {
+            try {
+                return submit(20, false);
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        /** Guards against a cancellation that leaves tasks waiting or changes an ended job. */
+        @Test
+        void cancellationIsFinal() throws Exception {
+            JobId id = fixture.reserve();
+            Caller caller = fixture.submit(id, DispatcherFixture.job(20, false));
+            JobAnswer answer = dispatcher.cancel(DispatcherFixture.TEAM, id);
+            assertFailed(caller, ErrorKind.CANCELLED, new JobCounts(0, 0, 0, 0, 16, 4));
+            assertThat(answer).isEqualTo(caller.only());
+            transport.answerAll(Outcome.DONE);
+            assertThat(dispatcher.cancel(DispatcherFixture.TEAM, id)).isEqualTo(answer);
+            assertThrowsKind(() -> dispatcher.cancel(DispatcherFixture.OTHER_TEAM, id), ErrorKind.UNKNOWN_JOB);
+        }
+    }
+
+    @Nested
+    class Moves {
+        /** Guards against a job that fails because one connection was refused. */
+        @Test
+        void unsentTaskMovesToAnotherServer() throws Exception {
+            Caller caller = submit(1, false);
+            transport.answerOldest(Outcome.NOT_SENT);
+            fixture.advanceMillis(20);
+            transport.answerAll(Outcome.DONE);
+            assertThat(caller.only().state()).isEqualTo(JobState.COMPLETE);
+            assertThat(transport.started).hasSize(2);
+        }
+
+        /** Guards against a second request for work that must run at most once. */
+        @Test
+        void refusedTaskMovesOnlyIfIdempotent() throws Exception {
+            Caller atMostOnce = submit(1, false);
+            transport.answerOldest(Outcome.REFUSED_BY_SERVER);
+            assertFailed(atMostOnce, ErrorKind.TASK_FAILED, new JobCounts(0, 0, 0, 1, 0, 0));
+            Caller idempotent = submit(1, true);
+            transport.answerOldest(Outcome.REFUSED_BY_SERVER);
+            fixture.advanceMillis(20);
+            transport.answerAll(Outcome.DONE);
+            assertThat(idempotent.only().state()).isEqualTo(JobState.COMPLETE);
+        }
+
+        /** Guards against requests without end to servers that refuse them, and against their repetition at once. */
+        @Test
+        void movesAreBoundedAndDelayed() throws Exception {
+            fixture.configure(DispatcherFixture.START.plus(Duration.ofHours(1)), DispatcherFixture.S1);
+            Caller caller = submit(1, false);
+            transport.answerOldest(Outcome.NOT_SENT);
+            assertThat(transport.open).isEmpty();
+            for (int i = 0; i < DispatcherSettings.DEFAULT.maxMoves(); i++) {
+                fixture.advanceMillis(20);
+                transport.answerOldest(Outcome.NOT_SENT);
+            }
+            assertFailed(caller, ErrorKind.NO_ELIGIBLE_SERVER, new JobCounts(0, 0, 0, 0, 0, 1));
+            assertThat(transport.started).hasSize(1 + DispatcherSettings.DEFAULT.maxMoves());
+        }
+    }
+
+    @Nested
+    class Resubmissions {
+        /** Guards against a second run and against a caller without an answer. */
+        @Test
+        void sameBodyAttaches() throws Exception {
+            JobId id = fixture.reserve();
+            Caller first = fixture.submit(id, DispatcherFixture.job(3, false));
+            Caller second = fixture.submit(id, DispatcherFixture.job(3, false));
+            assertThrowsKind(() -> fixture.submit(id, DispatcherFixture.job(2, false)), ErrorKind.JOB_ID_CONFLICT);
+            transport.answerAll(Outcome.DONE);
+            Caller third = fixture.submit(id, DispatcherFixture.job(3, false));
+            assertThat(second.only()).isEqualTo(first.only());
+            assertThat(third.only()).isEqualTo(first.only());
+            assertThat(transport.started).hasSize(3);
+        }
+    }
+
+    @Nested
+    class ConfigurationChanges {
+        /** Guards against starts after the contract, and against a stop of work that had all started. */
+        @Test
+        void earlierContractFailsOnlyWaitingWork() throws Exception {
+            Caller started = submit(10, false);
+            Caller waiting = submit(10, false);
+            fixture.configure(fixture.wallClock.now, DispatcherFixture.S1, DispatcherFixture.S2);
+            assertFailed(waiting, ErrorKind.CONTRACT_EXPIRED_RUNNING, new JobCounts(0, 0, 0, 0, 6, 4));
+            transport.answerAll(Outcome.DONE);
+            assertThat(started.only().state()).isEqualTo(JobState.COMPLETE);
+            assertRefused(DispatcherFixture.job(1, false), ErrorKind.CONTRACT_EXPIRED);
+        }
+
+        /** Guards against a task that is moved, and so started, after the contract. */
+        @Test
+        void noMoveAfterTheContract() throws Exception {
+            Caller caller = submit(1, false);
+            fixture.configure(fixture.wallClock.now, DispatcherFixture.S1, DispatcherFixture.S2);
+            transport.answerOldest(Outcome.NOT_SENT);
+            assertFailed(caller, ErrorKind.CONTRACT_EXPIRED_RUNNING, new JobCounts(0, 0, 0, 0, 0, 1));
+        }
+
+        /** Guards against a job that hangs when its servers have gone, and against a false "not run". */
+        @Test
+        void vanishedServersFailJobs() throws Exception {
+            Caller started = submit(20, false);
+            Caller notStarted = submit(5, false);
+            dispatcher.setLeaving(Set.of(DispatcherFixture.S1, DispatcherFixture.S2));
+            assertFailed(notStarted, ErrorKind.NO_ELIGIBLE_SERVER, new JobCounts(0, 0, 0, 0, 0, 5));
+            assertRefused(DispatcherFixture.job(1, false), ErrorKind.NO_ELIGIBLE_SERVER);
+            transport.answerAll(Outcome.DONE);
+            assertThat(started.answers).isEmpty();
+            fixture.advanceMillis(DispatcherFixture.PROMISE_MILLIS);
+            assertFailed(started, ErrorKind.DEADLINE_EXCEEDED, new JobCounts(0, 0, 16, 0, 0, 4));
+        }
+
+        /** Guards against a configuration that goes back. */
+        @Test
+        void lowerNumberIsIgnored() throws Exception {
+            dispatcher.configure(ConfigState.EMPTY);
+            submit(1, false);
+            assertThat(transport.started).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Admission {
+        /** Guards against work for contracts that do not exist or are exceeded. */
+        @Test
+        void refusesWithoutContract() throws Exception {
+            JobRequest job = DispatcherFixture.job(1, false);
+            assertRefused(new JobRequest(new BatchId("none"), job.tasks(), 0), ErrorKind.UNKNOWN_BATCH);
+            assertRefused(new JobRequest(job.batch(), job.tasks(), 1_001), ErrorKind.INVALID_JOB);
+            DispatcherFixture unconfigured = new DispatcherFixture();
+            assertThrowsKind(unconfigured::reserve, ErrorKind.NOT_CONFIGURED);
+        }
+
+        /** Guards against a team that takes more than its quota. */
+        @Test
+        void refusesAboveQuota() throws Exception {
+            fixture.setQuota(1_000, 30);
+            submit(20, false);
+            assertRefused(DispatcherFixture.job(11, false), ErrorKind.QUOTA_EXCEEDED);
+            submit(10, false);
+            fixture.setQuota(10, 2_000);
+            assertRefused(DispatcherFixture.job(30, false), ErrorKind.QUOTA_EXCEEDED);
+        }
+
+        /** Guards against starts above the team's rate. */
+        @Test
+        void rateDelaysStarts() throws Exception {
+            fixture.setQuota(10, 2_000);
+            submit(15, true);
+            assertThat(transport.started).hasSize(10);
+            fixture.advanceMillis(200);
+            assertThat(transport.started).hasSize(12);
+        }
+
+        /** Guards against a queue that grows without bound: 30% of 16 slots do 48 tasks/s of 100 ms. */
+        @Test
+        void refusesWhenTheClassWaitsTooLong() throws Exception {
+            submit(16 + 96, true);
+            submit(1, true);
+            assertRefused(DispatcherFixture.job(1, true), ErrorKind.OVERLOADED);
+        }
+
+        /** Guards against accepting a job that cannot meet its deadline. */
+        @Test
+        void refusesWhenTheWaitExceedsThePromise() throws Exception {
+            submit(90, true);
+            transport.answerOldest(Outcome.DONE);
+            JobRequest job = DispatcherFixture.job(1, true);
+            assertRefused(new JobRequest(job.batch(), job.tasks(), 4), ErrorKind.OVERLOADED);
+            fixture.submit(fixture.reserve(), new JobRequest(job.batch(), job.tasks(), 6));
+        }
+    }
+
+    @Nested
+    class Draining {
+        /** Guards against work that is interrupted or accepted by a stopping process. */
+        @Test
+        void finishesWhatRunsAndArchivesIt() throws Exception {
+            List<String> idle = new ArrayList<>();
+            JobId unused = fixture.reserve();
+            JobId id = fixture.reserve();
+            Caller caller = fixture.submit(id, DispatcherFixture.job(20, false));
+            assertThatThrownBy(dispatcher::archive).isInstanceOf(IllegalStateException.class);
+            dispatcher.drain(() -> idle.add("idle"));
+            assertThrowsKind(fixture::reserve, ErrorKind.DRAINING);
+            assertThrowsKind(() -> fixture.submit(unused, DispatcherFixture.job(1, false)), ErrorKind.DRAINING);
+            Caller attached = fixture.submit(id, DispatcherFixture.job(20, false));
+            assertThat(idle).isEmpty();
+            transport.answerAll(Outcome.DONE);
+            assertThat(idle).containsExactly("idle");
+            assertThat(attached.only()).isEqualTo(caller.only());
+            assertThat(dispatcher.archive().entries())
+                    .extracting(JobArchive.Entry::answer)
+                    .containsExactly(caller.only());
+        }
     }
 }
