Check that ended histories leave no slot or quota in use

Cause: a slot that is never freed would lower the capacity of a host for ever. Change: the random histories end with an idle dispatcher; a transport that drops late results shows that the check can fail. 1,500 histories instead of 400. A second result of an attempt is ignored.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherDriver.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherDriver.java
@@ -69,7 +69,7 @@
         }
         settle();
         history.stopped.addAll(fixture.transport.stopped);
-        return history.check();
+        return history.check(dispatcher.stats());
     }
 
     private void run(Step step) throws Exception {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherPropertyTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherPropertyTest.java
@@ -25,7 +25,7 @@
 
 class DispatcherPropertyTest {
     /** Guards against double starts, lost or partial answers and false refusals in any order of events. */
-    @Property(tries = 400, seed = "1")
+    @Property(tries = 1_500, seed = "1")
     void historyIsCorrect(@ForAll Policy policy, @ForAll("steps") List<Step> steps) throws Exception {
         assertThat(new DispatcherDriver(policy, Fault.NONE).run(steps)).isEmpty();
     }
@@ -55,6 +55,7 @@
         "SENDS_TWICE, STARTED_TWICE",
         "MOVES_UNKNOWN, STARTED_TWICE",
         "NEVER_STOPS, NOT_STOPPED",
+        "DROPS_LATE_RESULTS, LEAKED",
         "STARTS_REFUSED, REFUSED_AND_STARTED",
         "LOSES_ANSWER, NOT_ONE_ANSWER",
         "REPEATS_ANSWER, NOT_ONE_ANSWER",
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
 import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
@@ -93,6 +94,18 @@
             assertFailed(caller, ErrorKind.DEADLINE_EXCEEDED, new JobCounts(0, 0, 0, 0, 1, 0));
         }
 
+        /** Guards against slots that are freed twice by a transport that reports an attempt twice. */
+        @Test
+        void secondResultIsIgnored() throws Exception {
+            submit(40, false);
+            TaskAttempt attempt = transport.oldest();
+            Consumer<AttemptResult> onEnd = transport.open.get(attempt);
+            transport.answer(attempt, Outcome.DONE);
+            onEnd.accept(FakeTransport.result(attempt, Outcome.DONE));
+            assertThat(transport.started).hasSize(17);
+            assertThat(dispatcher.stats().tasksInFlight()).isEqualTo(16);
+        }
+
         /** Guards against a lease that outlives the promise. */
         @Test
         void leaseEndsWithTheDeadline() throws Exception {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/Fault.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/Fault.java
@@ -2,7 +2,9 @@
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.banyanspoke.api.errors.ErrorBody;
@@ -19,6 +21,7 @@
     SENDS_TWICE,
     MOVES_UNKNOWN,
     NEVER_STOPS,
+    DROPS_LATE_RESULTS,
     STARTS_REFUSED,
     LOSES_ANSWER,
     REPEATS_ANSWER,
@@ -32,11 +35,16 @@
     /** Wraps the transport that the dispatcher uses. */
     TaskTransport wrap(TaskTransport real) {
         return new TaskTransport() {
+            private final Set<TaskAttempt> stopped = new HashSet<>();
             private TaskAttempt endedAttempt;
 
             @Override
             public void start(TaskAttempt attempt, Consumer<AttemptResult> onEnd) {
-                real.start(attempt, result -> onEnd.accept(distort(result)));
+                real.start(attempt, result -> {
+                    if (Fault.this != DROPS_LATE_RESULTS || !stopped.contains(attempt)) {
+                        onEnd.accept(distort(result));
+                    }
+                });
                 if (Fault.this == SENDS_TWICE) {
                     real.start(copy(attempt), result -> {});
                 }
@@ -48,6 +56,7 @@
             @Override
             public void stop(TaskAttempt attempt) {
                 endedAttempt = attempt;
+                stopped.add(attempt);
                 if (Fault.this != NEVER_STOPS) {
                     real.stop(attempt);
                 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/History.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/History.java
@@ -32,7 +32,8 @@
         DIFFERENT_ANSWERS,
         INCOMPLETE_ANSWER,
         FALSE_NOT_RUN,
-        NOT_STOPPED
+        NOT_STOPPED,
+        LEAKED
     }
 
     /** One submission; the kind is null if it was accepted. */
@@ -55,8 +56,9 @@
     private final List<Violation> violations = new ArrayList<>();
 
     /** Checks the whole history after all jobs have ended. */
-    List<Violation> check() {
+    List<Violation> check(DispatcherStats stats) {
         violations.clear();
+        checkIdle(stats);
         checkStarts();
         checkCallers();
         checkAnswers();
@@ -64,6 +66,15 @@
         return violations;
     }
 
+    private void checkIdle(DispatcherStats stats) {
+        require(stats.runningJobs() == 0 && stats.tasksInFlight() == 0, Violation.LEAKED);
+        require(stats.waitingTasks().values().stream().allMatch(waiting -> waiting == 0), Violation.LEAKED);
+        require(
+                stats.teamStartsPerSecond().values().stream().allMatch(team -> team.tasksInFlight() == 0),
+                Violation.LEAKED);
+        require(stats.servers().stream().allMatch(server -> server.inFlight() == 0), Violation.LEAKED);
+    }
+
     private void checkStarts() {
         Map<Task, TaskAttempt> latest = new HashMap<>();
         for (Start start : starts) {
