Keep usual work ahead of floods in the fair share queue

A flood of the most urgent class took half of the slots by its guarantee, so classes above their guarantee lost work they had before. A class's level turns to its guarantee in a lasting overload.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
@@ -18,11 +18,13 @@
     private int waitingWeight;
     private double virtualTime;
     private double meanServiceNanos = ServiceTimes.INITIAL_MEAN_NANOS;
-    private final UsageMeter usage;
+    private final Backlog backlog;
+    private final UsageLevel usage;
 
     ClassTasks(UrgencyClass urgency, long nowNanos) {
         this.urgency = urgency;
-        this.usage = new UsageMeter(nowNanos);
+        this.backlog = new Backlog(nowNanos);
+        this.usage = new UsageLevel(nowNanos);
     }
 
     UrgencyClass urgency() {
@@ -56,6 +58,9 @@
 
     void add(TeamTasks team, int weight, int count, long nowNanos) {
         advance(nowNanos);
+        if (size == 0) {
+            backlog.onEmpty(nowNanos);
+        }
         removeFromOrder(team);
         team.setWeight(weight);
         if (team.size() == 0) {
@@ -78,6 +83,7 @@
         advance(nowNanos);
         virtualTime = Math.max(virtualTime, team.virtualTime());
         removeFromOrder(team);
+        team.setGuaranteedSlots(usage.slots() * team.weight() / Math.max(team.weight(), waitingWeight + team.weight()));
         team.onSent(nowNanos);
         inFlight++;
         addToOrder(team);
@@ -93,40 +99,56 @@
     }
 
     private void advance(long nowNanos) {
-        usage.advance(nowNanos, inFlight, size);
+        usage.advance(nowNanos, inFlight, pilesUp(nowNanos));
     }
 
-    /** Returns whether the class's next task is within what it usually uses. */
-    boolean hasCredit(long nowNanos) {
-        advance(nowNanos);
-        return usage.covers(inFlight, meanServiceNanos);
+    boolean pilesUp(long nowNanos) {
+        return backlog.pilesUp(size, nowNanos);
     }
 
-    /** Returns whether the class's tasks have waited without a break for so long that others go first. */
-    boolean pilesUp(long nowNanos) {
-        advance(nowNanos);
-        return usage.pilesUp();
+    void setGuaranteedSlots(double slots) {
+        usage.setGuaranteedSlots(slots);
+    }
+
+    /** Returns the order among those whose work piles up, least first. */
+    double rank() {
+        return usage.rank(inFlight, size);
     }
 
-    double levelSlots() {
-        return usage.levelSlots();
+    /** Returns the slots that the class usually uses. */
+    double usualSlots() {
+        return usage.slots();
     }
 
-    /** Returns the first sendable job: of teams whose work does not pile up, then of the others; or null. */
-    JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll, long nowNanos) {
+    /** Returns the first sendable job of the teams whose work does not pile up, or null. */
+    JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long poll, long nowNanos) {
+        boolean classPilesUp = pilesUp(nowNanos);
         for (TeamTasks team : waiting) {
-            JobTasks job = team.pilesUp(nowNanos) ? null : team.firstSendable(sendable, poll);
+            boolean usual = !classPilesUp || team.inFlight() < Math.max(2, 3 * team.usualSlots());
+            JobTasks job = team.pilesUp(nowNanos) || !usual ? null : team.firstSendable(sendable, poll);
             if (job != null) {
                 return job;
             }
         }
+        return null;
+    }
+
+    /** Returns the first sendable job of the team that is served next, or null. */
+    JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll) {
+        JobTasks best = null;
+        double bestRank = Double.MAX_VALUE;
         for (TeamTasks team : waiting) {
+            double rank = team.rank();
+            if (rank >= bestRank) {
+                continue;
+            }
             JobTasks job = team.firstSendable(sendable, poll);
             if (job != null) {
-                return job;
+                best = job;
+                bestRank = rank;
             }
         }
-        return null;
+        return best;
     }
 
     /** The sort key of a team must not change while it is in the tree. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
@@ -19,16 +19,12 @@
 public final class FairShareQueue implements TaskQueue {
     private static final UrgencyClass[] URGENCIES = UrgencyClass.values();
 
-    /** One of so many tasks goes by the guarantees alone, so that a class without usual use is never starved. */
-    private static final int GUARANTEE_INTERVAL = 10;
-
     private final MonotonicClock clock;
     private final ClassTasks[] classes = new ClassTasks[URGENCIES.length];
     private final Map<JobId, JobTasks> jobs = new HashMap<>();
     private ClassShares shares = ClassShares.DEFAULT;
     private long sequence;
     private long polls;
-    private long taken;
 
     /** Creates an empty queue with the default shares. */
     public FairShareQueue(MonotonicClock clock) {
@@ -64,24 +60,23 @@
     public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
         polls++;
         long nowNanos = clock.nanos();
-        JobTasks job = null;
-        if (taken % GUARANTEE_INTERVAL != 0) {
-            job = first(tasks -> !tasks.pilesUp(nowNanos), sendable, nowNanos);
-            job = job != null ? job : first(tasks -> tasks.hasCredit(nowNanos), sendable, nowNanos);
-        }
-        int slotsInUse = inFlight() + 1;
-        job = job != null ? job : first(tasks -> isBelowGuarantee(tasks, slotsInUse), sendable, nowNanos);
-        job = job != null ? job : first(tasks -> true, sendable, nowNanos);
+        updateGuarantees();
+        JobTasks job = firstWithoutBacklog(sendable, nowNanos);
+        job = job != null ? job : firstByUse(sendable);
         return job == null ? Optional.empty() : Optional.of(take(job, nowNanos));
     }
 
-    /** Returns the first sendable job of the most urgent class that meets the condition, or null. */
-    private JobTasks first(Predicate<ClassTasks> condition, Predicate<QueuedTask> sendable, long nowNanos) {
+    private void updateGuarantees() {
+        double slotsInUse = inFlight() + 1;
         for (ClassTasks tasks : classes) {
-            if (tasks.size() == 0 || !condition.test(tasks)) {
-                continue;
-            }
-            JobTasks job = tasks.firstSendable(sendable, polls, nowNanos);
+            tasks.setGuaranteedSlots(shares.percent(tasks.urgency()) / 100.0 * slotsInUse);
+        }
+    }
+
+    /** Returns the first sendable job of the most urgent class with teams whose work does not pile up, or null. */
+    private JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long nowNanos) {
+        for (ClassTasks tasks : classes) {
+            JobTasks job = tasks.firstWithoutBacklog(sendable, polls, nowNanos);
             if (job != null) {
                 return job;
             }
@@ -89,8 +84,22 @@
         return null;
     }
 
-    private boolean isBelowGuarantee(ClassTasks tasks, int slotsInUse) {
-        return tasks.inFlight() * 100 < shares.percent(tasks.urgency()) * slotsInUse;
+    /** Returns the first sendable job of the class that uses least of its usual level, or null. */
+    private JobTasks firstByUse(Predicate<QueuedTask> sendable) {
+        JobTasks best = null;
+        double bestRank = Double.MAX_VALUE;
+        for (ClassTasks tasks : classes) {
+            double rank = tasks.rank();
+            if (tasks.size() == 0 || rank >= bestRank) {
+                continue;
+            }
+            JobTasks job = tasks.firstSendable(sendable, polls);
+            if (job != null) {
+                best = job;
+                bestRank = rank;
+            }
+        }
+        return best;
     }
 
     private int inFlight() {
@@ -103,7 +112,6 @@
 
     private QueuedTask take(JobTasks job, long nowNanos) {
         QueuedTask task = job.removeFirst();
-        taken++;
         if (job.size() == 0) {
             forget(job, task);
         }
@@ -186,7 +194,7 @@
                 percent -= tasks.urgency() != urgency && tasks.size() > 0 ? shares.percent(tasks.urgency()) : 0;
             }
         }
-        double usual = classes[urgency.ordinal()].levelSlots() / Math.max(1, inFlight());
+        double usual = classes[urgency.ordinal()].usualSlots() / Math.max(1, inFlight());
         return Math.min(1, Math.max(Math.max(1, percent) / 100.0, usual));
     }
 
@@ -197,7 +205,7 @@
             return 1.0 / tasks.size();
         }
         double shareOfClass = (double) team.weight() / tasks.waitingWeight();
-        double usual = team.levelSlots() / Math.max(1, tasks.inFlight());
+        double usual = (double) team.inFlight() / Math.max(1, tasks.inFlight());
         return team.size() / (Math.max(shareOfClass, usual) * tasks.size());
     }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
@@ -23,14 +23,16 @@
     private int inFlight;
     private double usedNanos;
     private double meanServiceNanos;
-    private final UsageMeter usage;
+    private final Backlog backlog;
+    private final UsageLevel usage;
 
     TeamTasks(TeamId team, ClassTasks owner, int sequence, double meanServiceNanos, long nowNanos) {
         this.team = team;
         this.owner = owner;
         this.sequence = sequence;
         this.meanServiceNanos = meanServiceNanos;
-        this.usage = new UsageMeter(nowNanos);
+        this.backlog = new Backlog(nowNanos);
+        this.usage = new UsageLevel(nowNanos);
     }
 
     TeamId team() {
@@ -86,7 +88,9 @@
     }
 
     void addSize(int change, long nowNanos) {
-        advance(nowNanos);
+        if (size == 0) {
+            backlog.onEmpty(nowNanos);
+        }
         size += change;
     }
 
@@ -103,17 +107,26 @@
     }
 
     private void advance(long nowNanos) {
-        usage.advance(nowNanos, inFlight, size);
+        usage.advance(nowNanos, inFlight, pilesUp(nowNanos));
     }
 
-    /** Returns whether the team's tasks have waited without a break for so long that others go first. */
-    boolean pilesUp(long nowNanos) {
-        advance(nowNanos);
-        return usage.pilesUp();
+    /** Tells the slots that the team gets in a lasting overload. */
+    void setGuaranteedSlots(double slots) {
+        usage.setGuaranteedSlots(slots);
     }
 
-    double levelSlots() {
-        return usage.levelSlots();
+    /** Returns the order among those whose work piles up, least first. */
+    double rank() {
+        return usage.rank(inFlight, size);
+    }
+
+    /** Returns the slots that the team usually uses. */
+    double usualSlots() {
+        return usage.slots();
+    }
+
+    boolean pilesUp(long nowNanos) {
+        return backlog.pilesUp(size, nowNanos);
     }
 
     /** Returns the job with the earliest deadline among the sendable batches, or null. */
