Leave slow servers to batches with long promises

In a flood urgent tasks of 1 s ran for 4 s on the slowest servers and missed a promise of 5 s although they were sent in time. A server now serves a batch only if about 95% of its run times are below half the promise, unless that leaves less than half of the servers.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -26,6 +26,9 @@
 
 /** Servers with learned windows, speeds and failures. Selecting costs O(servers of this host), without streams. */
 public final class AdaptiveServerPool implements ServerPool {
+    /** Part of the promise that a task may run, so that time to wait is left. */
+    private static final double PROMISE_PART = 0.5;
+
     private final HostId self;
     private final MonotonicClock clock;
     private final ConcurrencyWindow windowRule;
@@ -107,9 +110,10 @@
         long nowNanos = clock.nanos();
         withRoom.clear();
         List<PooledServer> candidates = eligible(batch);
+        double limitNanos = runTimeLimitNanos(batch, candidates);
         for (int i = 0; i < candidates.size(); i++) {
             PooledServer server = candidates.get(i);
-            if (server.admits(nowNanos, task.idempotent())) {
+            if (server.admits(nowNanos, task.idempotent()) && server.endsWithin(limitNanos)) {
                 withRoom.add(server);
             }
         }
@@ -118,6 +122,20 @@
                 : selector.select(withRoom, task).map(ServerCandidate::id);
     }
 
+    /**
+     * Returns the run time that a server must keep for nearly all tasks of the batch. Slow servers are left to batches with
+     * longer promises, unless that would leave less than half of the servers.
+     */
+    private static double runTimeLimitNanos(BatchConfig batch, List<PooledServer> candidates) {
+        double limitNanos = batch.promiseMillis() * 1e6 * PROMISE_PART;
+        int fast = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            PooledServer server = candidates.get(i);
+            fast += !server.isLeaving() && server.endsWithin(limitNanos) ? 1 : 0;
+        }
+        return 2 * fast >= candidates.size() ? limitNanos : Double.MAX_VALUE;
+    }
+
     @Override
     public void onSent(ServerId server, TaskSpec task) {
         PooledServer pooled = servers.get(server);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -20,6 +20,7 @@
     private static final double FAST_FAILURE = 0.25;
 
     private final RunTimeRatio ratio = new RunTimeRatio();
+    private final RunTimeSpread runTimes = new RunTimeSpread();
     private final LeavingMark leavingMark = new LeavingMark();
     private final Ejection ejection;
     private final ConcurrencyWindow windowRule;
@@ -74,6 +75,11 @@
         return ejection.isEjected(nowNanos);
     }
 
+    /** Returns whether nearly all tasks end on this server within a time. */
+    boolean endsWithin(double limitNanos) {
+        return runTimes.highNanos() <= limitNanos;
+    }
+
     double window() {
         return window;
     }
@@ -92,6 +98,7 @@
         if (result.outcome() == AttemptResult.Outcome.DONE) {
             ejection.onSuccess(nowNanos);
             ratio.add(result.elapsedNanos(), task.declaredMillis());
+            runTimes.add(result.elapsedNanos());
         } else {
             // Failures say nothing about speed: a server that fails at once would look fast.
             ejection.onFailure(nowNanos, failureWeight(task, result));
