--- /dev/null
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/LoadExperimentTest.java
@@ -0,0 +1,102 @@
+package org.banyanspoke.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.banyanspoke.api.config.UrgencyClass;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.routing.LoadTrials.Flood;
+import org.banyanspoke.core.routing.LoadTrials.Flow;
+import org.banyanspoke.core.routing.LoadTrials.Policy;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LoadExperimentTest {
+    private static final long SECOND = LoadExperiment.SECOND;
+    private static final int SEEDS = 5;
+    private static final double TARGET = 0.98;
+
+    /** Class that floods, flooding team or -1 for all, and usual load of the three classes. */
+    private static double retained(Policy policy, UrgencyClass urgency, int team, double u, double n, double b) {
+        return LoadTrials.retained(policy, LoadTrials.usualWork(u, n, b), new Flood(urgency, team, 9), SEEDS);
+    }
+
+    @Nested
+    class TenfoldFlood {
+        /** Guards against other work that loses its place to a flood; target of the design, 0.98. */
+        @ParameterizedTest
+        @CsvSource({
+            "BACKGROUND, -1, 0.20, 0.25, 0.35",
+            "BACKGROUND, -1, 0.10, 0.10, 0.60",
+            "BACKGROUND, 2, 0.20, 0.25, 0.35",
+            "BACKGROUND, 2, 0.10, 0.10, 0.60",
+            "URGENT, -1, 0.20, 0.25, 0.35",
+            "URGENT, -1, 0.40, 0.25, 0.15",
+            "URGENT, -1, 0.10, 0.10, 0.60",
+            "URGENT, 2, 0.10, 0.10, 0.60"
+        })
+        void otherWorkIsRetained(UrgencyClass urgency, int team, double u, double n, double b) {
+            assertThat(retained(LoadTrials.ADAPTIVE, urgency, team, u, n, b)).isGreaterThanOrEqualTo(TARGET);
+        }
+
+        /** As above; below the target at present, see KNOWN-RED.txt. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @CsvSource({
+            "BACKGROUND, -1, 0.40, 0.25, 0.15",
+            "BACKGROUND, 2, 0.40, 0.25, 0.15",
+            "URGENT, 2, 0.20, 0.25, 0.35",
+            "URGENT, 2, 0.40, 0.25, 0.15"
+        })
+        void otherWorkIsRetainedInTightFloods(UrgencyClass urgency, int team, double u, double n, double b) {
+            assertThat(retained(LoadTrials.ADAPTIVE, urgency, team, u, n, b)).isGreaterThanOrEqualTo(TARGET);
+        }
+    }
+
+    @Nested
+    class Faults {
+        private final List<Flow> flows = LoadTrials.usualWork(0.2, 0.25, 0.35);
+        private final LoadExperiment experiment = new LoadExperiment(LoadTrials.ADAPTIVE, 8, 16, 0, 1);
+
+        Faults() {
+            for (int i = 0; i < flows.size(); i++) {
+                experiment.offer(flows.get(i), 0, 60 * SECOND, 100 + i);
+            }
+            experiment.run(30 * SECOND);
+        }
+
+        private int allStarts() {
+            int sum = 0;
+            for (int i = 0; i < 16; i++) {
+                sum += experiment.server(i).starts;
+            }
+            return sum;
+        }
+
+        /** Guards against a server that attracts work because it fails at once; target 1% after 1 s. */
+        @Test
+        void failingServerReceivesAtMostOnePercent() {
+            LoadExperiment.Server failing = experiment.server(0);
+            failing.failing = true;
+            experiment.run(31 * SECOND);
+            int before = failing.starts;
+            int allBefore = allStarts();
+            experiment.run(60 * SECOND);
+            assertThat(failing.starts - before).isLessThanOrEqualTo((allStarts() - allBefore) / 100);
+        }
+
+        /** Guards against new work for a server that is known to be leaving. */
+        @Test
+        void leavingServerReceivesNothing() {
+            experiment.hosts().forEach(host -> host.pool.setLeaving(Set.of(new ServerId("s0"))));
+            int before = experiment.server(0).starts;
+            assertThat(before).isPositive();
+            experiment.run(60 * SECOND);
+            assertThat(experiment.server(0).starts).isEqualTo(before);
+        }
+    }
+}
