Test the bench against a fake daemon and report control overhead from daemon metrics

The figures need tests before they are trusted: ideal response, open-loop arrivals, outcomes, waste and the share of a failing server. Control figures are null until the daemon reports its control counters.

--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Report.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Report.java
@@ -32,6 +32,7 @@
  * @param controlBytesPerSecond control bytes a host sends and receives a second
  * @param controlHeapMegabytes heap of the control state of a host
  * @param hostCpuPercent processor use of a whole host process, in percent of a core
+ * @param loadAverage load average of the machine at the end, over one minute; a run on a busy machine is a trial
  * @param outcomes jobs by state or error kind
  * @param shareToFailingServer share of the tasks started later than 1 s after the fault that went to the failing server
  * @param exitCodes exit codes of restarted hosts, in order
@@ -63,6 +64,7 @@
         Double controlBytesPerSecond,
         Double controlHeapMegabytes,
         double hostCpuPercent,
+        double loadAverage,
         Map<String, Long> outcomes,
         Double shareToFailingServer,
         List<Integer> exitCodes,
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Evaluation.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Evaluation.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.bench.internal;
 
+import java.lang.management.ManagementFactory;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -53,6 +54,7 @@
      * @param completedWithoutFlood jobs completed within contract in the run without the flood; null if there is none
      */
     public Report report(Long completedWithoutFlood) {
+        ControlFigures control = ControlFigures.of(run.before(), run.after());
         Map<String, Double> wasted = options.scenario().instant() ? null : wastedByKind();
         return new Report(
                 options.scenario().name(),
@@ -78,10 +80,11 @@
                 lostTasks(),
                 run.outcomes().stream().filter(JobOutcome::partial).count(),
                 run.ledger().between(measuredFrom(), measuredUntil()) / options.seconds(),
-                null,
-                null,
-                null,
+                control.cpuPercent(),
+                control.bytesPerSecond(),
+                control.heapMegabytes(),
                 hostCpuPercent(),
+                ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
                 outcomesByKind(),
                 shareToFailingServer(),
                 run.exitCodes(),
@@ -138,6 +141,10 @@
         Map<String, Double> wasted = new TreeMap<>();
         wasted.put("backend", backend / starts);
         wasted.put("platform", platform / starts);
+        Double peer = ControlFigures.of(run.before(), run.after()).peerMessages();
+        if (peer != null) {
+            wasted.put("peer", peer / starts);
+        }
         return wasted;
     }
 
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/LoadBalancer.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/LoadBalancer.java
@@ -14,7 +14,7 @@
  * Chooses entry hosts in weighted round robin and avoids hosts that are not ready, as the platform's load balancer
  * does. Thread safe.
  */
-public final class LoadBalancer {
+public final class LoadBalancer implements AutoCloseable {
     /** Readiness is asked 5 times a second, well inside the 2 s notice of a host that stops. */
     private static final long CHECK_PERIOD_MILLIS = 200;
 
@@ -25,6 +25,8 @@
     private final AtomicIntegerArray ready;
     private final AtomicLong next = new AtomicLong();
     private final HttpClient checks;
+    private final Vertx vertx;
+    private final long timer;
 
     /**
      * @param vertx runs the checks
@@ -32,6 +34,7 @@
      * @param weights share of each host relative to the others
      */
     public LoadBalancer(Vertx vertx, List<Integer> ports, List<Integer> weights) {
+        this.vertx = vertx;
         this.ports = List.copyOf(ports);
         ready = new AtomicIntegerArray(ports.size());
         checks = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
@@ -43,7 +46,7 @@
                 }
             }
         }
-        vertx.setPeriodic(0, CHECK_PERIOD_MILLIS, timer -> checkAll());
+        timer = vertx.setPeriodic(0, CHECK_PERIOD_MILLIS, id -> checkAll());
     }
 
     /** Returns the callers' port of the next ready host; of the next host if none is ready. */
@@ -66,6 +69,12 @@
         return count;
     }
 
+    /** Ends the checks. */
+    @Override
+    public void close() {
+        vertx.cancelTimer(timer);
+    }
+
     private int nextInRotation() {
         return rotation.get((int) (next.getAndIncrement() % rotation.size()));
     }
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
@@ -45,7 +45,13 @@
 
     private Measurement measure(Cluster cluster, Topology topology, Vertx vertx)
             throws IOException, InterruptedException {
-        LoadBalancer balancer = new LoadBalancer(vertx, callersPorts(topology), weights(topology));
+        try (LoadBalancer balancer = new LoadBalancer(vertx, callersPorts(topology), weights(topology))) {
+            return measure(cluster, topology, vertx, balancer);
+        }
+    }
+
+    private Measurement measure(Cluster cluster, Topology topology, Vertx vertx, LoadBalancer balancer)
+            throws IOException, InterruptedException {
         LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), scenario.reservedIds());
         awaitReady(balancer, topology.hosts());
         load.prepare();
--- /dev/null
+++ b/banyanspoke-bench/src/test/java/org/banyanspoke/bench/internal/FakeDaemon.java
@@ -0,0 +1,88 @@
+package org.banyanspoke.bench.internal;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.banyanspoke.api.job.JobRequest;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.standins.Deployments;
+import org.banyanspoke.standins.Exchanges;
+
+/** Callers' port of an entry host whose behaviour a test sets. */
+final class FakeDaemon {
+    /** What it does with a submission. */
+    enum Mode {
+        COMPLETE,
+        WITHOUT_LAST_TASK,
+        SWAPPED_RESULTS,
+        REFUSE,
+        DRAIN,
+        CLOSE
+    }
+
+    final AtomicInteger submissions = new AtomicInteger();
+    volatile Mode mode = Mode.COMPLETE;
+    volatile long delayMillis = 1;
+    volatile boolean ready = true;
+    private final Vertx vertx;
+    private final HttpServer server;
+
+    FakeDaemon(Vertx vertx) throws IOException, InterruptedException {
+        this.vertx = vertx;
+        server = Deployments.await(
+                vertx.createHttpServer().requestHandler(this::receive).listen(0, "127.0.0.1"));
+    }
+
+    int port() {
+        return server.actualPort();
+    }
+
+    private void receive(HttpServerRequest request) {
+        if (request.path().equals("/health/ready")) {
+            Exchanges.ignore(request.response().setStatusCode(ready ? 200 : 503).end());
+            return;
+        }
+        request.body().onSuccess(body -> vertx.setTimer(delayMillis, timer -> answer(request, body)));
+    }
+
+    private void answer(HttpServerRequest request, Buffer body) {
+        if (request.path().endsWith("/job-ids")) {
+            Exchanges.ignore(request.response().end("{\"jobIds\":[\"j1\",\"j2\",\"j3\"]}"));
+            return;
+        }
+        submissions.incrementAndGet();
+        switch (mode) {
+            case REFUSE ->
+                Exchanges.ignore(request.response().setStatusCode(503).end("{\"error\":{\"kind\":\"OVERLOADED\"}}"));
+            case DRAIN ->
+                Exchanges.ignore(request.response().setStatusCode(503).end("{\"error\":{\"kind\":\"DRAINING\"}}"));
+            case CLOSE -> Exchanges.ignore(request.connection().close());
+            default -> Exchanges.ignore(request.response().end(complete(body)));
+        }
+    }
+
+    private String complete(Buffer body) {
+        try {
+            JobRequest job = Json.mapper().readValue(body.getBytes(), JobRequest.class);
+            List<Map<String, String>> tasks = new ArrayList<>();
+            job.tasks()
+                    .forEach(task -> tasks.add(Map.of(
+                            "id",
+                            task.id().value(),
+                            "result",
+                            mode == Mode.SWAPPED_RESULTS ? "other" : task.id().value())));
+            if (mode == Mode.WITHOUT_LAST_TASK) {
+                tasks.remove(tasks.size() - 1);
+            }
+            return Json.mapper().writeValueAsString(Map.of("state", "complete", "tasks", tasks));
+        } catch (IOException e) {
+            throw new IllegalStateException("body is not a job", e);
+        }
+    }
+}
