--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -86,7 +87,8 @@
                 arguments.getLong("seed"),
                 seconds == null ? scenario.seconds() : seconds,
                 WARMUP_SECONDS,
-                arguments.getDouble("scale"));
+                arguments.getDouble("scale"),
+                arguments.getBoolean("keep"));
     }
 
     private static ArgumentParser parser() {
@@ -103,6 +105,9 @@
                 .setDefault(0.333)
                 .help("hosts and servers relative to the site");
         parser.addArgument("--repeat").type(Integer.class).setDefault(1).help("runs with consecutive seeds");
+        parser.addArgument("--keep")
+                .action(Arguments.storeTrue())
+                .help("keep settings, output and ledger of the processes");
         parser.addArgument("--json").help("file for the result");
         parser.addArgument("--plot").help("PNG file for the response ratio by percentile");
         return parser;
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import org.banyanspoke.api.json.Json;
 import org.banyanspoke.bench.Scenario;
@@ -29,7 +30,9 @@
     private final String policy;
     private final HttpJson http = new HttpJson();
     private final List<ManagedProcess> standins = new ArrayList<>();
-    private final List<ManagedProcess> hosts = new ArrayList<>();
+    private final List<ManagedProcess> hosts = new CopyOnWriteArrayList<>();
+    /** Processor time of host processes that were stopped or killed, up to that moment. */
+    private Duration endedCpuTime = Duration.ZERO;
 
     /**
      * @param home directory that holds {@code bin}
@@ -129,6 +132,7 @@
      */
     public int restartHost(int host) throws IOException, InterruptedException {
         ManagedProcess old = hosts.get(host);
+        noteCpuTime(old);
         old.terminate();
         if (!old.awaitEnd(START_LIMIT_MILLIS)) {
             throw new IOException(
@@ -141,12 +145,17 @@
 
     /** Kills a host. */
     public void killHost(int host) {
+        noteCpuTime(hosts.get(host));
         hosts.get(host).kill();
     }
 
-    /** Returns the processor time of the entry hosts alive now. */
-    public Duration hostCpuTime() {
-        return hosts.stream().map(ManagedProcess::cpuTime).reduce(Duration.ZERO, Duration::plus);
+    private synchronized void noteCpuTime(ManagedProcess process) {
+        endedCpuTime = endedCpuTime.plus(process.cpuTime());
+    }
+
+    /** Returns the processor time of the entry hosts, with those that have ended. */
+    public synchronized Duration hostCpuTime() {
+        return hosts.stream().map(ManagedProcess::cpuTime).reduce(endedCpuTime, Duration::plus);
     }
 
     /** Returns the metrics of every host that responds. */
