--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -161,7 +161,8 @@
                 new Settings.Host(HOST, ZONE, "r1"),
                 new Settings.Callers(ANY_PORT, MAX_BODY_BYTES, BODY_TIMEOUT_MILLIS),
                 new Settings.Admin(ANY_PORT, Map.of("alice", sha256("operator-token"))),
-                new Settings.Peer(HostAndPort.fromString("127.0.0.1:1"), List.of()),
+                new Settings.Peer(
+                        HostAndPort.fromString("127.0.0.1:1"), HostAndPort.fromString("127.0.0.1:1"), List.of()),
                 ANY_PORT,
                 ANY_PORT,
                 0,
