Refuse only the teams that fill a class

Cause: the limit of 2 s of waiting work per class let a flood by one team take admission from every other team of the class. Change: a job is refused by this rule only if its team also has more than 2 s of work waiting, at its equal share of the class's guaranteed rate.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
@@ -70,8 +70,12 @@
         }
     }
 
+    /**
+     * Refuses the teams that fill the class and no others: without the condition on the team, a flood by one team would
+     * take admission from every team of its class. What waits is bounded by the limit and one job of each team.
+     */
     private void checkClassWait(AdmissionRequest request, AdmissionLoad load) throws RefusedException {
-        if (load.classWaitNanos() > maxClassWaitNanos) {
+        if (load.classWaitNanos() > maxClassWaitNanos && load.teamWaitNanos() > maxClassWaitNanos) {
             throw new RefusedException(
                     ErrorKind.OVERLOADED,
                     "class " + request.batch().urgency() + " has "
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/TeamLedger.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/TeamLedger.java
@@ -35,6 +35,15 @@
         return teams.computeIfAbsent(team, id -> new TeamUsage(NO_SHARE, clock.nanos()));
     }
 
+    /** Returns the number of teams with waiting tasks. */
+    public int waitingTeams() {
+        int count = 0;
+        for (TeamUsage usage : teams.values()) {
+            count += usage.waiting() > 0 ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Closes the meters' intervals that have lasted a second. */
     public void rollMeters() {
         long nowNanos = clock.nanos();
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
@@ -23,7 +23,6 @@
 import org.banyanspoke.core.admission.AdmissionRequest;
 import org.banyanspoke.core.admission.internal.ContractRules;
 import org.banyanspoke.core.admission.internal.TeamLedger;
-import org.banyanspoke.core.admission.internal.TeamUsage;
 import org.banyanspoke.core.config.ConfigState;
 import org.banyanspoke.core.dispatch.AttemptResult;
 import org.banyanspoke.core.dispatch.DispatchEvents;
@@ -99,7 +98,7 @@
         this.contracts = new ContractRules(wallClock);
         this.teams = new TeamLedger(clock);
         this.sender = new TaskSender(clock, jobs, queue, pool, transport, this::onResult);
-        this.loadMeter = new LoadMeter(clock, queue, pool, sender);
+        this.loadMeter = new LoadMeter(clock, queue, pool, sender, teams);
         this.ejections = new EjectionWatch(pool, events, clock.nanos());
     }
 
@@ -199,14 +198,20 @@
         TeamId team = submission.team();
         JobRequest request = submission.request();
         AdmissionRequest asked = contracts.check(config, team, request);
-        TeamUsage usage = teams.team(team);
-        admission.admit(asked, loadMeter.load(asked, usage, config.classShares()));
+        admission.admit(asked, loadMeter.load(asked, config.classShares()));
         register.begin(submission.jobId(), team, submission.bodyDigest());
         long nowNanos = clock.nanos();
         long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(asked.promiseMillis());
         lastOrder++;
         return new RunningJob(
-                submission.jobId(), team, request.tasks(), asked.batch(), usage, nowNanos, deadlineNanos, lastOrder);
+                submission.jobId(),
+                team,
+                request.tasks(),
+                asked.batch(),
+                teams.team(team),
+                nowNanos,
+                deadlineNanos,
+                lastOrder);
     }
 
     private void onRefused(Submission submission, RefusedException e) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/LoadMeter.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/LoadMeter.java
@@ -6,6 +6,7 @@
 import org.banyanspoke.api.job.TaskSpec;
 import org.banyanspoke.core.admission.AdmissionLoad;
 import org.banyanspoke.core.admission.AdmissionRequest;
+import org.banyanspoke.core.admission.internal.TeamLedger;
 import org.banyanspoke.core.admission.internal.TeamUsage;
 import org.banyanspoke.core.routing.ServerPool;
 import org.banyanspoke.core.schedule.TaskQueue;
@@ -20,13 +21,15 @@
     private final TaskQueue queue;
     private final ServerPool pool;
     private final TaskSender sender;
+    private final TeamLedger teams;
     private final ServiceTimes serviceTimes = new ServiceTimes();
 
-    LoadMeter(MonotonicClock clock, TaskQueue queue, ServerPool pool, TaskSender sender) {
+    LoadMeter(MonotonicClock clock, TaskQueue queue, ServerPool pool, TaskSender sender, TeamLedger teams) {
         this.clock = clock;
         this.queue = queue;
         this.pool = pool;
         this.sender = sender;
+        this.teams = teams;
     }
 
     /** Learns from a completed task. */
@@ -34,14 +37,18 @@
         serviceTimes.onDone(urgency, serviceNanos);
     }
 
-    AdmissionLoad load(AdmissionRequest request, TeamUsage usage, ClassShares shares) {
+    AdmissionLoad load(AdmissionRequest request, ClassShares shares) {
         long nowNanos = clock.nanos();
+        TeamUsage usage = teams.team(request.team());
         double slots = pool.usableSlots(request.batch());
         UrgencyClass urgency = request.batch().urgency();
+        double guaranteedSlots = slots * shares.percent(urgency) / 100;
+        double teamSlots = guaranteedSlots / Math.max(1, teams.waitingTeams());
         return new AdmissionLoad(
                 pool.hasEligible(request.batch()),
                 slots,
-                classWaitNanos(request, shares, slots),
+                waitNanos(request, sender.waiting(urgency), guaranteedSlots),
+                waitNanos(request, usage.waiting(), teamSlots),
                 queue.expectedWaitNanos(urgency, request.team(), slots),
                 usage.waiting(),
                 usage.inFlight(),
@@ -50,15 +57,12 @@
                 usage.startsReady(nowNanos));
     }
 
-    private long classWaitNanos(AdmissionRequest request, ClassShares shares, double slots) {
-        UrgencyClass urgency = request.batch().urgency();
-        int waiting = sender.waiting(urgency);
+    private long waitNanos(AdmissionRequest request, int waiting, double slots) {
         if (waiting == 0) {
             return 0;
         }
-        double guaranteedSlots = slots * shares.percent(urgency) / 100;
-        double workNanos = waiting * serviceTimes.meanNanos(urgency, meanDeclaredNanos(request));
-        return guaranteedSlots == 0 ? NO_SLOTS_WAIT_NANOS : (long) (workNanos / guaranteedSlots);
+        double serviceNanos = serviceTimes.meanNanos(request.batch().urgency(), meanDeclaredNanos(request));
+        return slots == 0 ? NO_SLOTS_WAIT_NANOS : (long) (waiting * serviceNanos / slots);
     }
 
     private static double meanDeclaredNanos(AdmissionRequest request) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.common.hash.HashCode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -329,6 +330,21 @@
             assertRefused(DispatcherFixture.job(1, true), ErrorKind.OVERLOADED);
         }
 
+        /** Guards against a flood by one team that takes admission from another team of its class. */
+        @Test
+        void refusesOnlyTheTeamThatFillsTheClass() throws Exception {
+            submit(500, true);
+            assertRefused(DispatcherFixture.job(1, true), ErrorKind.OVERLOADED);
+            JobId id = dispatcher.reserve(DispatcherFixture.OTHER_TEAM, 1).get(0);
+            JobRequest job = new JobRequest(
+                    DispatcherFixture.OTHER_BATCH,
+                    DispatcherFixture.job(1, true).tasks(),
+                    0);
+            dispatcher.submit(new Submission(DispatcherFixture.OTHER_TEAM, id, job, HashCode.fromInt(1)), answer -> {});
+            assertThat(dispatcher.status(DispatcherFixture.OTHER_TEAM, id).state())
+                    .isEqualTo(JobState.RUNNING);
+        }
+
         /** Guards against accepting a job that cannot meet its deadline. */
         @Test
         void refusesWhenTheWaitExceedsThePromise() throws Exception {
