--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
@@ -18,9 +18,13 @@
     private int waitingWeight;
     private double virtualTime;
     private double meanServiceNanos = ServiceTimes.INITIAL_MEAN_NANOS;
+    private final Backlog backlog;
+    private final UsageLevel usage;
 
-    ClassTasks(UrgencyClass urgency) {
+    ClassTasks(UrgencyClass urgency, long nowNanos) {
         this.urgency = urgency;
+        this.backlog = new Backlog(nowNanos);
+        this.usage = new UsageLevel(nowNanos);
     }
 
     UrgencyClass urgency() {
@@ -48,53 +52,103 @@
         return teams.get(team);
     }
 
-    TeamTasks team(TeamId team) {
-        return teams.computeIfAbsent(team, id -> new TeamTasks(id, this, teams.size(), meanServiceNanos));
+    TeamTasks team(TeamId team, long nowNanos) {
+        return teams.computeIfAbsent(team, id -> new TeamTasks(id, this, teams.size(), meanServiceNanos, nowNanos));
     }
 
-    void add(TeamTasks team, int weight, int count) {
+    void add(TeamTasks team, int weight, int count, long nowNanos) {
+        advance(nowNanos);
+        if (size == 0) {
+            backlog.onEmpty(nowNanos);
+        }
         removeFromOrder(team);
         team.setWeight(weight);
         if (team.size() == 0) {
             team.catchUp(virtualTime);
         }
-        team.addSize(count);
+        team.addSize(count, nowNanos);
         size += count;
         addToOrder(team);
     }
 
-    void remove(TeamTasks team, int count) {
+    void remove(TeamTasks team, int count, long nowNanos) {
+        advance(nowNanos);
         removeFromOrder(team);
-        team.addSize(-count);
+        team.addSize(-count, nowNanos);
         size -= count;
         addToOrder(team);
     }
 
-    void onSent(TeamTasks team) {
+    void onSent(TeamTasks team, long nowNanos) {
+        advance(nowNanos);
         virtualTime = Math.max(virtualTime, team.virtualTime());
         removeFromOrder(team);
-        team.onSent();
+        team.setGuaranteedSlots(usage.slots() * team.weight() / Math.max(team.weight(), waitingWeight + team.weight()));
+        team.onSent(nowNanos);
         inFlight++;
         addToOrder(team);
     }
 
-    void onEnded(TeamTasks team, long serviceNanos) {
+    void onEnded(TeamTasks team, long serviceNanos, long nowNanos) {
+        advance(nowNanos);
         removeFromOrder(team);
-        team.onEnded(serviceNanos);
+        team.onEnded(serviceNanos, nowNanos);
         addToOrder(team);
         inFlight = Math.max(0, inFlight - 1);
         meanServiceNanos = ServiceTimes.updatedMean(meanServiceNanos, serviceNanos);
     }
 
+    private void advance(long nowNanos) {
+        usage.advance(nowNanos, inFlight, pilesUp(nowNanos));
+    }
+
+    boolean pilesUp(long nowNanos) {
+        return backlog.pilesUp(size, nowNanos);
+    }
+
+    void setGuaranteedSlots(double slots) {
+        usage.setGuaranteedSlots(slots);
+    }
+
+    /** Returns the order among those whose work piles up, least first. */
+    double rank() {
+        return usage.rank(inFlight, size);
+    }
+
+    /** Returns the slots that the class usually uses. */
+    double usualSlots() {
+        return usage.slots();
+    }
+
+    /** Returns the first sendable job of the teams whose work does not pile up, or null. */
+    JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long poll, long nowNanos) {
+        boolean classPilesUp = pilesUp(nowNanos);
+        for (TeamTasks team : waiting) {
+            boolean usual = !classPilesUp || team.inFlight() < Math.max(2, 3 * team.usualSlots());
+            JobTasks job = team.pilesUp(nowNanos) || !usual ? null : team.firstSendable(sendable, poll);
+            if (job != null) {
+                return job;
+            }
+        }
+        return null;
+    }
+
     /** Returns the first sendable job of the team that is served next, or null. */
     JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll) {
+        JobTasks best = null;
+        double bestRank = Double.MAX_VALUE;
         for (TeamTasks team : waiting) {
+            double rank = team.rank();
+            if (rank >= bestRank) {
+                continue;
+            }
             JobTasks job = team.firstSendable(sendable, poll);
             if (job != null) {
-                return job;
+                best = job;
+                bestRank = rank;
             }
         }
-        return null;
+        return best;
     }
 
     /** The sort key of a team must not change while it is in the tree. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
@@ -30,7 +30,7 @@
     public FairShareQueue(MonotonicClock clock) {
         this.clock = clock;
         for (UrgencyClass urgency : URGENCIES) {
-            classes[urgency.ordinal()] = new ClassTasks(urgency);
+            classes[urgency.ordinal()] = new ClassTasks(urgency, clock.nanos());
         }
     }
 
@@ -41,11 +41,12 @@
 
     @Override
     public void add(QueuedTask task) {
+        long nowNanos = clock.nanos();
         ClassTasks owner = classes[task.batch().urgency().ordinal()];
-        TeamTasks team = owner.team(task.batch().team());
+        TeamTasks team = owner.team(task.batch().team(), nowNanos);
         JobTasks job = jobs.computeIfAbsent(task.job(), unused -> newJob(team, task));
         job.add(task);
-        owner.add(team, task.teamWeight(), 1);
+        owner.add(team, task.teamWeight(), 1, nowNanos);
     }
 
     private JobTasks newJob(TeamTasks team, QueuedTask task) {
@@ -58,23 +59,24 @@
     @Override
     public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
         polls++;
-        JobTasks job = firstBelowGuarantee(sendable);
-        if (job == null) {
-            job = firstOfAny(sendable);
-        }
-        return job == null ? Optional.empty() : Optional.of(take(job));
+        long nowNanos = clock.nanos();
+        updateGuarantees();
+        JobTasks job = firstWithoutBacklog(sendable, nowNanos);
+        job = job != null ? job : firstByUse(sendable);
+        return job == null ? Optional.empty() : Optional.of(take(job, nowNanos));
     }
 
-    private JobTasks firstBelowGuarantee(Predicate<QueuedTask> sendable) {
-        int slotsInUse = 1;
+    private void updateGuarantees() {
+        double slotsInUse = inFlight() + 1;
         for (ClassTasks tasks : classes) {
-            slotsInUse += tasks.inFlight();
+            tasks.setGuaranteedSlots(shares.percent(tasks.urgency()) / 100.0 * slotsInUse);
         }
+    }
+
+    /** Returns the first sendable job of the most urgent class with teams whose work does not pile up, or null. */
+    private JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long nowNanos) {
         for (ClassTasks tasks : classes) {
-            if (tasks.size() == 0 || tasks.inFlight() * 100 >= shares.percent(tasks.urgency()) * slotsInUse) {
-                continue;
-            }
-            JobTasks job = tasks.firstSendable(sendable, polls);
+            JobTasks job = tasks.firstWithoutBacklog(sendable, polls, nowNanos);
             if (job != null) {
                 return job;
             }
@@ -82,23 +84,39 @@
         return null;
     }
 
-    private JobTasks firstOfAny(Predicate<QueuedTask> sendable) {
+    /** Returns the first sendable job of the class that uses least of its usual level, or null. */
+    private JobTasks firstByUse(Predicate<QueuedTask> sendable) {
+        JobTasks best = null;
+        double bestRank = Double.MAX_VALUE;
         for (ClassTasks tasks : classes) {
+            double rank = tasks.rank();
+            if (tasks.size() == 0 || rank >= bestRank) {
+                continue;
+            }
             JobTasks job = tasks.firstSendable(sendable, polls);
             if (job != null) {
-                return job;
+                best = job;
+                bestRank = rank;
             }
         }
-        return null;
+        return best;
     }
 
-    private QueuedTask take(JobTasks job) {
+    private int inFlight() {
+        int sum = 0;
+        for (ClassTasks tasks : classes) {
+            sum += tasks.inFlight();
+        }
+        return sum;
+    }
+
+    private QueuedTask take(JobTasks job, long nowNanos) {
         QueuedTask task = job.removeFirst();
         if (job.size() == 0) {
             forget(job, task);
         }
         TeamTasks team = job.batch().team();
-        team.owner().remove(team, 1);
+        team.owner().remove(team, 1, nowNanos);
         return task;
     }
 
@@ -116,20 +134,22 @@
         }
         forget(job, job.first());
         TeamTasks team = job.batch().team();
-        team.owner().remove(team, job.size());
+        team.owner().remove(team, job.size(), clock.nanos());
         return job.size();
     }
 
     @Override
     public void onSent(QueuedTask task) {
         ClassTasks owner = classes[task.batch().urgency().ordinal()];
-        owner.onSent(owner.team(task.batch().team()));
+        long nowNanos = clock.nanos();
+        owner.onSent(owner.team(task.batch().team(), nowNanos), nowNanos);
     }
 
     @Override
     public void onEnded(QueuedTask task, long serviceNanos) {
         ClassTasks owner = classes[task.batch().urgency().ordinal()];
-        owner.onEnded(owner.team(task.batch().team()), serviceNanos);
+        long nowNanos = clock.nanos();
+        owner.onEnded(owner.team(task.batch().team(), nowNanos), serviceNanos, nowNanos);
     }
 
     @Override
@@ -174,7 +194,8 @@
                 percent -= tasks.urgency() != urgency && tasks.size() > 0 ? shares.percent(tasks.urgency()) : 0;
             }
         }
-        return Math.max(1, percent) / 100.0;
+        double usual = classes[urgency.ordinal()].usualSlots() / Math.max(1, inFlight());
+        return Math.min(1, Math.max(Math.max(1, percent) / 100.0, usual));
     }
 
     /** Returns the wait of a team's next task relative to the time in which the whole class would be served. */
@@ -184,11 +205,7 @@
             return 1.0 / tasks.size();
         }
         double shareOfClass = (double) team.weight() / tasks.waitingWeight();
-        return team.size() / (shareOfClass * tasks.size());
-    }
-
-    /** Returns the present time, for the measurement of recent use. */
-    long nowNanos() {
-        return clock.nanos();
+        double usual = (double) team.inFlight() / Math.max(1, tasks.inFlight());
+        return team.size() / (Math.max(shareOfClass, usual) * tasks.size());
     }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
@@ -23,12 +23,16 @@
     private int inFlight;
     private double usedNanos;
     private double meanServiceNanos;
+    private final Backlog backlog;
+    private final UsageLevel usage;
 
-    TeamTasks(TeamId team, ClassTasks owner, int sequence, double meanServiceNanos) {
+    TeamTasks(TeamId team, ClassTasks owner, int sequence, double meanServiceNanos, long nowNanos) {
         this.team = team;
         this.owner = owner;
         this.sequence = sequence;
         this.meanServiceNanos = meanServiceNanos;
+        this.backlog = new Backlog(nowNanos);
+        this.usage = new UsageLevel(nowNanos);
     }
 
     TeamId team() {
@@ -83,20 +87,48 @@
         }
     }
 
-    void addSize(int change) {
+    void addSize(int change, long nowNanos) {
+        if (size == 0) {
+            backlog.onEmpty(nowNanos);
+        }
         size += change;
     }
 
-    void onSent() {
+    void onSent(long nowNanos) {
+        advance(nowNanos);
         inFlight++;
     }
 
-    void onEnded(long serviceNanos) {
+    void onEnded(long serviceNanos, long nowNanos) {
+        advance(nowNanos);
         inFlight = Math.max(0, inFlight - 1);
         usedNanos += serviceNanos;
         meanServiceNanos = ServiceTimes.updatedMean(meanServiceNanos, serviceNanos);
     }
 
+    private void advance(long nowNanos) {
+        usage.advance(nowNanos, inFlight, pilesUp(nowNanos));
+    }
+
+    /** Tells the slots that the team gets in a lasting overload. */
+    void setGuaranteedSlots(double slots) {
+        usage.setGuaranteedSlots(slots);
+    }
+
+    /** Returns the order among those whose work piles up, least first. */
+    double rank() {
+        return usage.rank(inFlight, size);
+    }
+
+    /** Returns the slots that the team usually uses. */
+    double usualSlots() {
+        return usage.slots();
+    }
+
+    boolean pilesUp(long nowNanos) {
+        return backlog.pilesUp(size, nowNanos);
+    }
+
     /** Returns the job with the earliest deadline among the sendable batches, or null. */
     JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll) {
         while (true) {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -18,22 +18,28 @@
 import org.banyanspoke.core.dispatch.Dispatchers;
 import org.banyanspoke.core.dispatch.TaskTransport;
 import org.banyanspoke.core.identity.ProcessIdentity;
-import org.banyanspoke.core.quota.QuotaLendings;
 import org.banyanspoke.core.routing.ServerPools;
 import org.banyanspoke.core.schedule.TaskQueues;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
+import org.banyanspoke.daemon.control.ControlSettings;
+import org.banyanspoke.daemon.http.ForwardedJobs;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.DispatchThread;
+import org.banyanspoke.daemon.jobs.RxFutures;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
+import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
+import org.banyanspoke.peer.FrameFilter;
+import org.banyanspoke.peer.PeerTransport;
+import org.banyanspoke.peer.TransportLimits;
 import org.jboss.logging.Logger;
 
 /** One entry host process: creates and registers the services, starts them and waits for the planned stop. */
@@ -67,15 +73,18 @@
         SecureRandom secureRandom = new SecureRandom();
         secureRandom.nextBytes(jobIdKey);
         this.identity = new ProcessIdentity(
-                settings.host().id(), settings.peer().address().toString(), new Incarnation(secureRandom.nextLong()));
+                settings.host().id(),
+                settings.peer().advertisedAddress().toString(),
+                new Incarnation(secureRandom.nextLong()));
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
         this.control = createControl();
         this.gate = new HostGate(control::readiness);
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
-        this.drain = new DrainCoordinator(
-                trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, Future::succeededFuture);
-        this.callers =
-                HttpServices.callers(trafficVertx, settings.callers(), callerLoops, control, dispatch, this, metrics);
+        this.drain =
+                new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
+        this.callers = HttpServices.callers(
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, control::forward, this, metrics);
+        control.attach(new ForwardedJobs(dispatch));
         register(metrics);
     }
 
@@ -128,8 +137,19 @@
 
     private ControlService createControl() {
         io.vertx.rxjava3.core.Vertx rxVertx = io.vertx.rxjava3.core.Vertx.newInstance(trafficVertx);
+        ControlSettings controlSettings = new ControlSettings(
+                identity.host(),
+                identity.incarnation(),
+                settings.host().zone(),
+                identity.peerAddress(),
+                settings.peer().seeds().stream().map(Object::toString).toList());
         return new ControlService(
-                new HttpLogClient(rxVertx, settings.logAddress().toString()), clock);
+                controlSettings,
+                new HttpLogClient(rxVertx, settings.logAddress().toString()),
+                new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
     }
 
     private DispatchService createDispatch(DispatchEvents events) {
@@ -155,10 +175,7 @@
     private void register(DaemonMetrics metrics) {
         kernel.register(DispatchService.NAME, dispatch);
         kernel.register(ControlService.NAME, control);
-        UniformRandomProvider quotaRandom = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        kernel.register(
-                ConfigLink.NAME,
-                new ConfigLink(control, dispatch, QuotaLendings.halfOfUnused(host(), clock, quotaRandom)));
+        kernel.register(ConfigLink.NAME, new ConfigLink(control, dispatch));
         kernel.register(HttpServices.CALLERS, callers);
         kernel.register(
                 HttpServices.ADMIN, HttpServices.admin(trafficVertx, settings, this, control, dispatch, metrics));
@@ -169,6 +186,17 @@
         return dispatch.drain();
     }
 
+    private Future<Void> handOver() {
+        return dispatch.ask(Dispatcher::archive)
+                .compose(archive -> RxFutures.toFuture(control.leave(archive)))
+                .map(successor -> {
+                    LOG.event(Logger.Level.INFO, "planned stop: records are handed over")
+                            .with("successor", successor.map(HostId::value).orElse("none"))
+                            .write();
+                    return null;
+                });
+    }
+
     private ExitCode awaitPlannedStop() {
         try {
             drain.awaitEnd();
