Index the history before checking it

Cause: each expected result searched all outcomes. Change: completed attempts and written jobs are indexed once per check.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/History.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/History.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.errors.Execution;
@@ -53,11 +52,16 @@
     /** Attempts that had no result when their job ended. */
     final Set<TaskAttempt> openAtEnd = new HashSet<>();
 
+    private final Map<Task, TaskAttempt> done = new HashMap<>();
+    /** Jobs with a request that reached or may have reached a server. */
+    private final Set<JobId> written = new HashSet<>();
+
     private final List<Violation> violations = new ArrayList<>();
 
     /** Checks the whole history after all jobs have ended. */
     List<Violation> check(DispatcherStats stats) {
         violations.clear();
+        index();
         checkIdle(stats);
         checkStarts();
         checkCallers();
@@ -66,6 +70,19 @@
         return violations;
     }
 
+    private void index() {
+        for (Start start : starts) {
+            TaskAttempt attempt = start.attempt();
+            Outcome outcome = outcomes.get(attempt);
+            if (outcome == Outcome.DONE) {
+                done.putIfAbsent(new Task(attempt.job(), attempt.task().id()), attempt);
+            }
+            if (outcome != Outcome.NOT_SENT) {
+                written.add(attempt.job());
+            }
+        }
+    }
+
     private void checkIdle(DispatcherStats stats) {
         require(stats.runningJobs() == 0 && stats.tasksInFlight() == 0, Violation.LEAKED);
         require(stats.waitingTasks().values().stream().allMatch(waiting -> waiting == 0), Violation.LEAKED);
@@ -140,25 +157,14 @@
         require(answer.state() != JobState.RUNNING, Violation.INCOMPLETE_ANSWER);
         require(total(answer.counts()) == call.request().tasks().size(), Violation.INCOMPLETE_ANSWER);
         boolean notRun = answer.error() != null && answer.error().execution() == Execution.NOT_RUN;
-        require(!notRun || !wasWritten(call.job()), Violation.FALSE_NOT_RUN);
+        require(!notRun || !written.contains(call.job()), Violation.FALSE_NOT_RUN);
     }
 
     private TaskAnswer expectedResult(JobId job, TaskId task) {
-        return outcomes.entrySet().stream()
-                .filter(entry -> entry.getValue() == Outcome.DONE)
-                .map(Map.Entry::getKey)
-                .filter(attempt ->
-                        attempt.job().equals(job) && attempt.task().id().equals(task))
-                .map(attempt -> new TaskAnswer(task, FakeTransport.resultText(attempt), attempt.server()))
-                .findFirst()
-                .orElse(new TaskAnswer(task, "no server completed it", null));
-    }
-
-    private boolean wasWritten(JobId job) {
-        return starts.stream()
-                .map(Start::attempt)
-                .filter(attempt -> attempt.job().equals(job))
-                .anyMatch(attempt -> !Objects.equals(outcomes.get(attempt), Outcome.NOT_SENT));
+        TaskAttempt attempt = done.get(new Task(job, task));
+        return attempt == null
+                ? new TaskAnswer(task, "no server completed it", null)
+                : new TaskAnswer(task, FakeTransport.resultText(attempt), attempt.server());
     }
 
     private static int total(JobCounts counts) {
