Do not eject servers for tasks that fail everywhere

A job that can never run fails on every server it reaches, and three such failures in a row set each of them aside. A failure now counts for ejection only while the last result of at most half of the other servers was a failure.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -148,10 +148,23 @@
     public void onEnded(ServerId server, TaskSpec task, AttemptResult result) {
         PooledServer pooled = servers.get(server);
         if (pooled != null) {
-            pooled.onEnded(task, result, clock.nanos());
+            boolean failed = result.outcome() != AttemptResult.Outcome.DONE;
+            pooled.onEnded(task, result, clock.nanos(), failed && mostOthersFail(pooled));
         }
     }
 
+    /**
+     * Returns whether the last result of most other servers was a failure. Then the tasks are at fault: a job that can
+     * never run would otherwise set every server aside.
+     */
+    private boolean mostOthersFail(PooledServer server) {
+        int failing = 0;
+        for (PooledServer other : servers.values()) {
+            failing += other != server && other.lastFailed() ? 1 : 0;
+        }
+        return 2 * failing > servers.size() - 1;
+    }
+
     @Override
     public double usableSlots(BatchConfig batch) {
         long nowNanos = clock.nanos();
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -30,6 +30,7 @@
     private int sharers;
     private double window;
     private int inFlight;
+    private boolean lastFailed;
     private double othersLoad;
     private double unknownRatio = 1;
 
@@ -71,6 +72,11 @@
         return inFlight < (int) window && !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
     }
 
+    /** Returns whether the last result was no success. */
+    boolean lastFailed() {
+        return lastFailed;
+    }
+
     boolean isEjected(long nowNanos) {
         return ejection.isEjected(nowNanos);
     }
@@ -88,18 +94,24 @@
         inFlight++;
     }
 
-    void onEnded(TaskSpec task, AttemptResult result, long nowNanos) {
+    /**
+     * Takes over the result of an attempt.
+     *
+     * @param othersFailToo whether a failure is more likely the task's fault than the server's
+     */
+    void onEnded(TaskSpec task, AttemptResult result, long nowNanos, boolean othersFailToo) {
         leavingMark.onAnswer(result.serverLeaving(), result.serverIncarnation());
         adjustWindow(task, result);
         inFlight = Math.max(0, inFlight - 1);
         if (result.load() != null) {
             othersLoad = Math.max(0, result.load().running() + result.load().queued() - inFlight);
         }
-        if (result.outcome() == AttemptResult.Outcome.DONE) {
+        lastFailed = result.outcome() != AttemptResult.Outcome.DONE;
+        if (!lastFailed) {
             ejection.onSuccess(nowNanos);
             ratio.add(result.elapsedNanos(), task.declaredMillis());
             runTimes.add(result.elapsedNanos());
-        } else {
+        } else if (!othersFailToo) {
             // Failures say nothing about speed: a server that fails at once would look fast.
             ejection.onFailure(nowNanos, failureWeight(task, result));
         }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
@@ -155,6 +155,24 @@
         }
     }
 
+    @Nested
+    class FailingTasks {
+        /** Guards against a job that can never run and sets every server aside. */
+        @Test
+        void mostServersStayInUse() {
+            BackendServerConfig[] servers = new BackendServerConfig[9];
+            for (int i = 0; i < servers.length; i++) {
+                servers[i] = server(i, "z1", ServerState.IN_SERVICE);
+            }
+            pool.configure(config(1, servers));
+            for (int i = 0; i < 90; i++) {
+                end(new ServerId("s" + i % 9), Outcome.FAILED, 1, null);
+            }
+            assertThat(pool.views().stream().filter(ServerView::ejected).count())
+                    .isLessThanOrEqualTo(4);
+        }
+    }
+
     @Nested
     class Leaving {
         private void answer(boolean leaving, String incarnation) {
