Compute rendezvous hashes and member lists only when they are needed

Cause: in a trial with 8 to 64 members in one process the CPU time per member grew by about 0.028% of a core for each further member (machine overloaded, load average 32). Change: one hash per host and choice instead of one per comparison; the probe schedule asks for member lists when a probe starts, once a second, instead of at each of 10 ticks. Result: SwimTest passes; the new slope is not measured yet.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/ProbeSchedule.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/ProbeSchedule.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.core.time.MonotonicClock;
@@ -55,10 +56,10 @@
     /**
      * Returns what to do now. To be called several times a second.
      *
-     * @param members all members that may be probed, without this host
-     * @param live members that can help
+     * @param members all members that may be probed, without this host; asked for only when a probe starts
+     * @param live members that can help; asked for only when helpers are needed
      */
-    public List<Action> tick(Set<HostId> members, List<HostId> live) {
+    public List<Action> tick(Supplier<Set<HostId>> members, Supplier<List<HostId>> live) {
         List<Action> actions = new ArrayList<>();
         long elapsedMillis = clock.millis() - startedMillis;
         boolean open = target != null && !reached;
@@ -67,10 +68,10 @@
             if (failed != null) {
                 actions.add(new Failed(failed));
             }
-            startNext(members, failed, actions);
+            startNext(members.get(), failed, actions);
         } else if (open && !helpersAsked && elapsedMillis >= DIRECT_MILLIS) {
             helpersAsked = true;
-            askHelpers(live, actions);
+            askHelpers(live.get(), actions);
         }
         return actions;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/Rendezvous.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/Rendezvous.java
@@ -13,13 +13,18 @@
 
     /** Returns the hosts with the highest hashes for a key, at most {@code count}. */
     public static List<HostId> choose(String key, Collection<HostId> hosts, int count) {
-        Comparator<HostId> byHash = Comparator.comparingLong(host -> hash(key, host));
+        Comparator<Ranked> byHash = Comparator.comparingLong(Ranked::hash);
         return hosts.stream()
-                .sorted(byHash.thenComparing(Comparator.naturalOrder()).reversed())
+                .map(host -> new Ranked(host, hash(key, host)))
+                .sorted(byHash.thenComparing(Ranked::host).reversed())
                 .limit(count)
+                .map(Ranked::host)
                 .toList();
     }
 
+    /** Holds the hash, so that sorting computes it once for each host. */
+    private record Ranked(HostId host, long hash) {}
+
     private static long hash(String key, HostId host) {
         return Hashing.murmur3_128()
                 .newHasher()
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/Swim.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/Swim.java
@@ -73,7 +73,7 @@
         lastTickMillis = clock.millis();
         table.tick();
         retired.tick();
-        List<ProbeSchedule.Action> actions = schedule.tick(probeable(), hostsOf(table.live()));
+        List<ProbeSchedule.Action> actions = schedule.tick(this::probeable, () -> hostsOf(table.live()));
         for (ProbeSchedule.Action action : actions) {
             if (action instanceof ProbeSchedule.Failed failed) {
                 table.suspect(failed.target());
