--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Report.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Report.java
@@ -34,6 +34,7 @@
  * @param hostCpuPercent processor use of a whole host process, in percent of a core
  * @param loadAverage load average of the machine at the end, over one minute; a run on a busy machine is a trial
  * @param outcomes jobs by state or error kind
+ * @param outcomesByTeam the same by team
  * @param shareToFailingServer share of the tasks started later than 1 s after the fault that went to the failing server
  * @param exitCodes exit codes of restarted hosts, in order
  * @param faultErrors faults that could not be set
@@ -66,6 +67,7 @@
         double hostCpuPercent,
         double loadAverage,
         Map<String, Long> outcomes,
+        Map<String, Map<String, Long>> outcomesByTeam,
         Double shareToFailingServer,
         List<Integer> exitCodes,
         List<String> faultErrors) {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Scenario.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Scenario.java
@@ -10,6 +10,7 @@
  * @param hosts entry hosts; 0 for those of the shape
  * @param speedRatio speed of the fastest over the slowest backend server
  * @param declaredErrorFactor declared run times are off by up to this factor
+ * @param stragglerFraction share of tasks that last 10 times as long as declared
  * @param unequalHosts whether later entry hosts get a smaller share of the load (weights 4, 2, 1, ...)
  * @param instant whether backend servers answer at once
  * @param reservedIds whether callers reserve job ids first, which lets them resubmit and cancel
@@ -22,6 +23,7 @@
         int hosts,
         double speedRatio,
         double declaredErrorFactor,
+        double stragglerFraction,
         boolean unequalHosts,
         boolean instant,
         boolean reservedIds,
@@ -47,6 +49,7 @@
                 hosts,
                 speedRatio,
                 declaredErrorFactor,
+                stragglerFraction,
                 unequalHosts,
                 instant,
                 reservedIds,
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
@@ -80,6 +80,7 @@
         List<String> fleet = new ArrayList<>(List.of(
                 "--count", String.valueOf(topology.speeds().size()),
                 "--speeds", topology.speeds().stream().map(String::valueOf).collect(Collectors.joining(",")),
+                "--threads", "3",
                 "--ledger", ledgerFile().toString(),
                 "--seed", String.valueOf(seed)));
         if (scenario.instant()) {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Evaluation.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Evaluation.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collector;
 import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 import org.banyanspoke.api.errors.ErrorKind;
@@ -85,7 +86,8 @@
                 control.heapMegabytes(),
                 hostCpuPercent(),
                 ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
-                outcomesByKind(),
+                measured.stream().collect(byKind()),
+                outcomesByTeam(),
                 shareToFailingServer(),
                 run.exitCodes(),
                 run.faultErrors());
@@ -123,8 +125,14 @@
                 .sum();
     }
 
-    private Map<String, Long> outcomesByKind() {
-        return measured.stream().collect(Collectors.groupingBy(Evaluation::label, TreeMap::new, Collectors.counting()));
+    private Map<String, Map<String, Long>> outcomesByTeam() {
+        return measured.stream()
+                .collect(Collectors.groupingBy(outcome -> outcome.job().load().name(), TreeMap::new, byKind()));
+    }
+
+    private static Collector<JobOutcome, ?, Map<String, Long>> byKind() {
+        return Collectors.collectingAndThen(
+                Collectors.groupingBy(Evaluation::label, Collectors.counting()), TreeMap::new);
     }
 
     private static String label(JobOutcome outcome) {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/LoadPlanner.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/LoadPlanner.java
@@ -24,6 +24,8 @@
     private static final double LONG_MIN_MILLIS = 2_000;
     private static final double LONG_MAX_MILLIS = 4_000;
 
+    private static final double STRAGGLER_FACTOR = 10;
+
     private final Scenario scenario;
     private final long seed;
     private final double warmupSeconds;
@@ -88,6 +90,9 @@
             run[i] = drawRunMillis(random);
             double error = logUniform(random, 1 / scenario.declaredErrorFactor(), scenario.declaredErrorFactor());
             declared[i] = Math.max(1, Math.round(run[i] * error));
+            if (random.nextDouble() < scenario.stragglerFraction()) {
+                run[i] *= STRAGGLER_FACTOR;
+            }
         }
         return new PlannedJob(-1, load, arrivalNanos, run, declared);
     }
--- a/banyanspoke-bench/src/test/java/org/banyanspoke/bench/internal/LoadPlannerTest.java
+++ b/banyanspoke-bench/src/test/java/org/banyanspoke/bench/internal/LoadPlannerTest.java
@@ -62,6 +62,15 @@
 
     @Nested
     class Tasks {
+        /** Guards against stragglers that are missing or declared. */
+        @Test
+        void straggleUndeclaredInStragglers() {
+            assertThat(plan(scenario("stragglers"), 6, 20))
+                    .anyMatch(job -> Math.abs(job.runMillis()[0] / job.declaredMillis()[0] - 10) < 0.2);
+            assertThat(plan(scenario("steady80"), 6, 20))
+                    .allMatch(job -> Math.abs(job.runMillis()[0] / job.declaredMillis()[0] - 1) < 0.02);
+        }
+
         /** Guards against declared run times that are right although the scenario says otherwise. */
         @Test
         void declareWrongRunTimesInUnequal80() {
