Test that a written request rules out 'not run'

Change: a job whose only request was refused, and whose servers then leave, waits for its deadline instead of failing as not run.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -192,6 +192,20 @@
         }
     }
 
+    @Nested
+    class WrittenRequests {
+        /** Guards against "not run" for a job of which a request was written, though every server refused it. */
+        @Test
+        void refusedTaskIsNotReportedAsNotRun() throws Exception {
+            Caller caller = submit(1, true);
+            transport.answerOldest(Outcome.REFUSED_BY_SERVER);
+            dispatcher.setLeaving(Set.of(DispatcherFixture.S1, DispatcherFixture.S2));
+            assertThat(caller.answers).isEmpty();
+            fixture.advanceMillis(DispatcherFixture.PROMISE_MILLIS);
+            assertFailed(caller, ErrorKind.DEADLINE_EXCEEDED, new JobCounts(0, 0, 0, 0, 0, 1));
+        }
+    }
+
     @Nested
     class ServerHealth {
         /** Guards against healthy servers that are set aside after a wave of cancellations. */
