Check all peer connections with one timer

Cause: one timer for each connection woke the event loop twice a second for each member; the trial's CPU time per member grew with the number of members. Change: the transport checks its connections for silence and idleness in one task.

--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -12,9 +12,11 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
@@ -43,6 +45,7 @@
     private final EventLoopGroup eventLoop;
     private volatile PeerIdentity self;
     private Channel listener;
+    private Future<?> checks;
 
     /**
      * @param host this entry host
@@ -86,6 +89,8 @@
             throw new IOException("peer address " + address + " cannot be bound", bound.cause());
         }
         listener = bound.channel();
+        long checkMillis = Math.max(1, limits.silenceMillis() / 2);
+        checks = eventLoop.scheduleAtFixedRate(this::checkConnections, checkMillis, checkMillis, TimeUnit.MILLISECONDS);
         InetSocketAddress local = (InetSocketAddress) listener.localAddress();
         self = new PeerIdentity(host, incarnation, local.getAddress().getHostAddress() + ":" + local.getPort());
     }
@@ -120,6 +125,7 @@
     /** Closes all connections and ends the event loop. Pending requests fail. */
     public void stop() throws InterruptedException {
         if (listener != null) {
+            checks.cancel(false);
             listener.close().await();
         }
         eventLoop.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
@@ -130,6 +136,11 @@
         return connections.size();
     }
 
+    /** One timer for all connections: one for each would wake the event loop twice a second for each member. */
+    private void checkConnections() {
+        List.copyOf(connections.values()).forEach(OpenedConnection::check);
+    }
+
     private OpenedConnection connection(String address) {
         OpenedConnection connection = connections.get(address);
         return connection == null ? open(address) : connection;
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
@@ -40,7 +40,6 @@
     private EventLoopGroup eventLoop;
     private Channel channel;
     private PeerIdentity peer;
-    private Future<?> silenceCheck;
     private long queuedBytes;
     private long lastUseNanos = System.nanoTime();
     private long lastReadNanos = System.nanoTime();
@@ -75,8 +74,6 @@
     /** Starts to connect. */
     public void open(Bootstrap bootstrap, InetSocketAddress target, EventLoopGroup group) {
         eventLoop = group;
-        long checkMillis = Math.max(1, limits.silenceMillis() / 2);
-        silenceCheck = group.scheduleAtFixedRate(this::check, checkMillis, checkMillis, TimeUnit.MILLISECONDS);
         ChannelFuture connect = bootstrap.connect(target);
         channel = connect.channel();
         connect.addListener(result -> {
@@ -180,8 +177,8 @@
         }
     }
 
-    /** Finds silence and idleness. */
-    private void check() {
+    /** Finds silence and idleness. Called at least twice within the silence limit. */
+    public void check() {
         long nowNanos = System.nanoTime();
         if (peer == null) {
             checkLimit(nowNanos, lastUseNanosOfOpening(), limits.connectTimeoutMillis(), "no identity in time");
@@ -234,7 +231,6 @@
         }
         closed = true;
         onClosed.accept(this);
-        silenceCheck.cancel(false);
         var unused = channel.close();
         boolean written = peer != null;
         List<Pending> failed = List.copyOf(pending.values());
