--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -21,6 +21,8 @@
 public final class Main {
     /** Covers the compilation of the hot paths of a new JVM and the first learning of server speeds. */
     private static final double WARMUP_SECONDS = 5;
+    /** In trials the compiler threads used more than half of a host's processor time in the first 10 s. */
+    private static final double THROUGHPUT_WARMUP_SECONDS = 10;
 
     private Main() {}
 
@@ -79,6 +81,8 @@
                     + String.join(", ", scenarios.keySet()));
         }
         Double seconds = arguments.getDouble("seconds");
+        Double warmupSeconds = arguments.getDouble("warmup");
+        double defaultWarmupSeconds = scenario.instant() ? THROUGHPUT_WARMUP_SECONDS : WARMUP_SECONDS;
         return new BenchOptions(
                 Path.of(System.getProperty("banyanspoke.home", ".")),
                 scenario,
@@ -86,7 +90,7 @@
                 arguments.getString("policy"),
                 arguments.getLong("seed"),
                 seconds == null ? scenario.seconds() : seconds,
-                WARMUP_SECONDS,
+                warmupSeconds == null ? defaultWarmupSeconds : warmupSeconds,
                 arguments.getDouble("scale"),
                 arguments.getBoolean("keep"));
     }
@@ -98,6 +102,7 @@
         parser.addArgument("--scenario").required(true).help("scenario name");
         parser.addArgument("--seed").type(Long.class).setDefault(1L).help("decides arrivals and faults");
         parser.addArgument("--seconds").type(Double.class).help("measured time; default depends on the scenario");
+        parser.addArgument("--warmup").type(Double.class).help("time with load before the measured time, in seconds");
         parser.addArgument("--shape").choices("kilima", "daugava").setDefault("kilima");
         parser.addArgument("--policy").choices("adaptive", "baseline").setDefault("adaptive");
         parser.addArgument("--scale")
