Listen on the peer address and advertise the other

Cause: the peer transport bound the advertised address, so a host behind a relay could not start. Change: control settings carry both addresses; only the roster and job ids use the advertised one.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -141,6 +141,7 @@
                 identity.host(),
                 identity.incarnation(),
                 settings.host().zone(),
+                settings.peer().address().toString(),
                 identity.peerAddress(),
                 settings.peer().seeds().stream().map(Object::toString).toList());
         return new ControlService(
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
@@ -145,7 +145,7 @@
         archives.start();
         forwards.start();
         loans.start();
-        transport.start(settings.peerAddress());
+        transport.start(settings.listenAddress());
         tasks.add(config.states().subscribe(this::onConfig, e -> LOG.error("the configuration stream has ended", e)));
         every(TICK_MILLIS, this::tick);
         every(SECOND_MILLIS, this::eachSecond);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlSettings.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlSettings.java
@@ -11,11 +11,17 @@
  * @param host this entry host
  * @param incarnation this process start
  * @param zone its availability zone
- * @param peerAddress {@code ip:port} of its peer protocol
+ * @param listenAddress {@code ip:port} on which the peer protocol listens
+ * @param peerAddress {@code ip:port} under which other entry hosts reach it, as in the roster
  * @param seeds peer addresses to contact before the roster is known
  */
 public record ControlSettings(
-        HostId host, Incarnation incarnation, ZoneId zone, String peerAddress, List<String> seeds) {
+        HostId host,
+        Incarnation incarnation,
+        ZoneId zone,
+        String listenAddress,
+        String peerAddress,
+        List<String> seeds) {
     /** Copies the list. */
     public ControlSettings {
         seeds = List.copyOf(seeds);
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/TestCluster.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/TestCluster.java
@@ -63,7 +63,8 @@
                 (direction, address) -> !cutOff.contains(host) && !cutOff.contains(hostAt(address)));
         List<String> seeds = List.of(address("h1"));
         ControlService service = new ControlService(
-                new ControlSettings(new HostId(host), incarnation, new ZoneId("z1"), address(host), seeds),
+                new ControlSettings(
+                        new HostId(host), incarnation, new ZoneId("z1"), address(host), address(host), seeds),
                 ownLog,
                 () -> Single.just(List.copyOf(listed)),
                 transport,
