Let work wait up to half the promise; do not count stopped tasks as failures

A wave of cancellations counted as failures of healthy servers, because the adaptive pool did not override onStopped. Ruled out: the start-up of the server windows alone, since 12 jobs of 20 tasks of 100 ms need 2.2 s at 10 slots, 4.5 s at the class's half of them. Change: the limit is the larger of 2 s and half the job's promise; a stopped task only frees its slot.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
@@ -20,7 +20,7 @@
 
     private final long maxClassWaitNanos;
 
-    /** Refuses jobs of a class for which more work waits than this, at its guaranteed rate. */
+    /** Refuses jobs of a class for which more work waits than this or half their promise, at its guaranteed rate. */
     public LoadRules(long maxClassWaitNanos) {
         this.maxClassWaitNanos = maxClassWaitNanos;
     }
@@ -72,16 +72,18 @@
 
     /**
      * Refuses the teams that fill the class and no others: without the condition on the team, a flood by one team would
-     * take admission from every team of its class. What waits is bounded by the limit and one job of each team.
+     * take admission from every team of its class. A job that may take long may also wait longer: a fixed limit refused
+     * single jobs of a cold host whose promise left ten times the wait. What waits is bounded by the limit and one job of each team.
      */
     private void checkClassWait(AdmissionRequest request, AdmissionLoad load) throws RefusedException {
-        if (load.classWaitNanos() > maxClassWaitNanos && load.teamWaitNanos() > maxClassWaitNanos) {
+        long limitNanos = Math.max(maxClassWaitNanos, TimeUnit.MILLISECONDS.toNanos(request.promiseMillis()) / 2);
+        if (load.classWaitNanos() > limitNanos && load.teamWaitNanos() > limitNanos) {
             throw new RefusedException(
                     ErrorKind.OVERLOADED,
                     "class " + request.batch().urgency() + " has "
                             + TimeUnit.NANOSECONDS.toMillis(load.classWaitNanos())
                             + " ms of work waiting at its guaranteed rate",
-                    retryMillis(TimeUnit.NANOSECONDS.toMillis(load.classWaitNanos() - maxClassWaitNanos)));
+                    retryMillis(TimeUnit.NANOSECONDS.toMillis(load.classWaitNanos() - limitNanos)));
         }
     }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -165,6 +165,14 @@
         return 2 * failing > servers.size() - 1;
     }
 
+    @Override
+    public void onStopped(ServerId server, TaskSpec task, AttemptResult result) {
+        PooledServer pooled = servers.get(server);
+        if (pooled != null) {
+            pooled.onStopped(result);
+        }
+    }
+
     @Override
     public double usableSlots(BatchConfig batch) {
         long nowNanos = clock.nanos();
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -117,6 +117,12 @@
         }
     }
 
+    /** A task that was stopped says nothing about the server's failures, speed or window. */
+    void onStopped(AttemptResult result) {
+        leavingMark.onAnswer(result.serverLeaving(), result.serverIncarnation());
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
     private void adjustWindow(TaskSpec task, AttemptResult result) {
         LoadReport load = result.load();
         if (load == null && result.outcome() != AttemptResult.Outcome.DONE) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
@@ -110,6 +110,17 @@
             pool.configure(config(1, server(0, "z1", ServerState.IN_SERVICE)));
         }
 
+        /** Guards against a wave of cancellations that sets healthy servers aside or leaves their slots in use. */
+        @Test
+        void stoppedTasksAreNoFailures() {
+            for (int i = 0; i < 5; i++) {
+                pool.onSent(S0, TASK);
+                pool.onStopped(S0, TASK, new AttemptResult(Outcome.FAILED, "", MILLI, null, false, "1"));
+            }
+            assertThat(view(S0).ejected()).isFalse();
+            assertThat(view(S0).inFlight()).isZero();
+        }
+
         private void failUntilEjected(int failures, long elapsedMillis) {
             for (int i = 0; i < failures; i++) {
                 assertThat(view(S0).ejected()).isFalse();
