--- /dev/null
+++ b/banyanspoke-cli/src/test/java/org/banyanspoke/cli/CommandLineTest.java
@@ -0,0 +1,152 @@
+package org.banyanspoke.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CommandLineTest {
+    private static final String ID = "h1~127.0.0.1:1~0000000000000001~0~1~0000000000000002";
+    private static final String JOB = "{\"batch\": \"b\", \"tasks\": [{\"id\": \"t1\"}]} // one task";
+    private static final String COMPLETE = "{\"jobId\":\"" + ID + "\",\"state\":\"complete\",\"counts\":{\"done\":1},"
+            + "\"tasks\":[{\"id\":\"t1\",\"result\":\"x\",\"server\":\"s\"}]}";
+
+    private final Map<String, String> answers = new HashMap<>();
+    private final List<String> requests = new ArrayList<>();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private HttpServer server;
+    private String address;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/", this::answer);
+        server.start();
+        address = "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    @AfterEach
+    void stopServer() {
+        server.stop(0);
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        String request = exchange.getRequestMethod() + " " + exchange.getRequestURI();
+        requests.add(request);
+        exchange.getRequestBody().readAllBytes();
+        String[] answer = answers.getOrDefault(request, "404 {}").split(" ", 2);
+        byte[] body = answer[1].getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(Integer.parseInt(answer[0]), body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    private ExitCode run(String... arguments) {
+        CommandLine commandLine = new CommandLine(
+                Map.of(Connection.TOKEN_VARIABLE, "token"),
+                new ByteArrayInputStream(JOB.getBytes(StandardCharsets.UTF_8)),
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8));
+        return commandLine.run(arguments);
+    }
+
+    private String out() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private String err() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Submission {
+        private ExitCode submit() {
+            return run("--json", "job", "submit", "--team", "t", "--host", address, "-");
+        }
+
+        /** Guards against a submission without a reserved id, which could not be repeated safely. */
+        @Test
+        void reservesSubmitsAndPrintsTheAnswer() {
+            answers.put("POST /v1/teams/t/job-ids", "201 {\"jobIds\":[\"" + ID + "\"]}");
+            answers.put("PUT /v1/teams/t/jobs/" + ID + "?wait=false", "200 " + COMPLETE);
+            assertThat(submit()).isEqualTo(ExitCode.SUCCESS);
+            assertThat(out()).contains("\"state\":\"complete\"").contains("\"result\":\"x\"");
+            assertThat(requests).hasSize(2);
+        }
+
+        /** Guards against an exit code that lets a script take a refusal for work that may have run. */
+        @Test
+        void refusalHasItsOwnExitCode() {
+            String error = "{\"error\":{\"kind\":\"QUOTA_EXCEEDED\",\"execution\":\"not_run\",\"message\":\"m\"}}";
+            answers.put("POST /v1/teams/t/job-ids", "429 " + error);
+            assertThat(submit()).isEqualTo(ExitCode.REFUSED);
+            assertThat(out()).contains("QUOTA_EXCEEDED");
+        }
+
+        /** Guards against success for a failed job. */
+        @Test
+        void failedJobHasItsOwnExitCode() {
+            answers.put("POST /v1/teams/t/job-ids", "201 {\"jobIds\":[\"" + ID + "\"]}");
+            answers.put(
+                    "PUT /v1/teams/t/jobs/" + ID + "?wait=false",
+                    "502 {\"jobId\":\"" + ID + "\",\"state\":\"failed\",\"error\":{\"kind\":\"TASK_FAILED\","
+                            + "\"execution\":\"may_have_run\",\"message\":\"m\"},\"counts\":{\"failed\":1},\"tasks\":[]}");
+            assertThat(submit()).isEqualTo(ExitCode.MAY_HAVE_RUN);
+        }
+    }
+
+    @Nested
+    class BadInput {
+        /** Guards against sending anything for a command line that is not valid. */
+        @Test
+        void isReportedAndNothingIsSent() {
+            assertThat(run("job", "submit", "--host", address, "-")).isEqualTo(ExitCode.USAGE);
+            assertThat(run("job", "submit", "--team", "t", "--host", "localhost", "-"))
+                    .isEqualTo(ExitCode.USAGE);
+            assertThat(run("job", "submit", "--team", "t", "--host", address, "missing.json"))
+                    .isEqualTo(ExitCode.USAGE);
+            assertThat(run("job", "status", "--team", "t", "--host", address, "not-an-id"))
+                    .isEqualTo(ExitCode.USAGE);
+            assertThat(requests).isEmpty();
+            assertThat(err())
+                    .contains("--team is required")
+                    .contains("localhost")
+                    .contains("missing.json");
+        }
+
+        /** Guards against a stack trace when no entry host runs. */
+        @Test
+        void unreachableHostHasItsOwnExitCode() {
+            server.stop(0);
+            assertThat(run("show", "status", "--host", address)).isEqualTo(ExitCode.UNREACHABLE);
+            assertThat(err()).contains("no answer from " + address);
+        }
+    }
+
+    @Nested
+    class Tables {
+        /** Guards against columns that do not line up when rows have different fields. */
+        @Test
+        void showEveryFieldOfEveryRow() {
+            answers.put("GET /v1/admin/servers", "200 [{\"id\":\"b1\",\"zone\":\"z1\"},{\"id\":\"b22\",\"slots\":8}]");
+            assertThat(run("show", "servers", "--host", address)).isEqualTo(ExitCode.SUCCESS);
+            assertThat(out().lines()).containsExactly("id   zone  slots", "b1   z1    -", "b22  -     8");
+        }
+    }
+}
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
@@ -13,8 +13,8 @@
 import org.banyanspoke.core.time.MonotonicClock;
 
 /**
- * Order by class, then team, then earliest deadline. A class that holds less than its guaranteed share of the slots goes
- * first, most urgent first; then the most urgent waiting class. Adding and polling cost O(log teams + log jobs).
+ * Order by class, then team, then earliest deadline. Work that does not pile up goes first, most urgent class first; then
+ * the class and team that use least of their usual level, see {@link UsageLevel}.
  */
 public final class FairShareQueue implements TaskQueue {
     private static final UrgencyClass[] URGENCIES = UrgencyClass.values();
