Estimate the wait of a class at its share among the classes in use

Cause: with one class in use, admission divided the waiting work by half of the slots. In the rolling restart scenario on a busy machine (load average 18) a host that had just started refused a job as OVERLOADED that would have waited half of the limit. Ruled out: the learned service time, which the scenario's other hosts have too.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/AdmissionLoad.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/AdmissionLoad.java
@@ -5,7 +5,8 @@
  *
  * @param serverEligible whether a backend server in service may serve the batch
  * @param usableSlots tasks of the batch that this host can have running
- * @param classWaitNanos work that waits for the class, divided by its guaranteed share of the usable slots
+ * @param classWaitNanos work that waits for the class, divided by its guaranteed share, among the classes in
+ *     use, of the usable slots
  * @param teamWaitNanos work that waits for the team, divided by its equal share of that guarantee among the teams with
  *     waiting work
  * @param expectedWaitNanos time that a new task of the team would wait
