Let hosts with a burst take slots from hosts that have only a flood

Change: a team that piles up with outstanding work of over 24 times its usual use floods; its tasks need one more free slot in the server's last report (2 s). Other work may go beyond the window where that report shows a free slot. TaskQueue.poll tells the claim of a task, ServerPool.select takes it.

The four cases moved from known-red to the other cases with the same bound. Run: LoadExperimentTest, AdaptiveServerPoolTest, FairShareQueueTest and the dispatcher tests pass.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/TaskSender.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/TaskSender.java
@@ -19,6 +19,7 @@
 import org.banyanspoke.core.dispatch.TaskTransport;
 import org.banyanspoke.core.routing.ServerPool;
 import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.SlotClaim;
 import org.banyanspoke.core.schedule.TaskQueue;
 import org.banyanspoke.core.time.MonotonicClock;
 
@@ -35,6 +36,7 @@
     private long lastAttemptId;
     private int inFlight;
     private QueuedTask candidate;
+    private SlotClaim candidateClaim;
     private ServerId candidateServer;
 
     /**
@@ -97,13 +99,13 @@
         long nowNanos = clock.nanos();
         sendHeld(nowNanos);
         boolean sent = true;
-        while (sent && pool.select(batch, task).isPresent()) {
+        while (sent && pool.select(batch, task, SlotClaim.PROTECTED).isPresent()) {
             sent = sendNext(nowNanos);
         }
     }
 
     private boolean sendNext(long nowNanos) {
-        Optional<QueuedTask> next = queue.poll(task -> isSendable(task, nowNanos));
+        Optional<QueuedTask> next = queue.poll((task, claim) -> isSendable(task, claim, nowNanos));
         return next.isPresent() && sendPolled(next.get(), nowNanos);
     }
 
@@ -120,7 +122,7 @@
         if (withoutRoom.contains(job.batch.id()) || !job.usage.mayStart(nowNanos)) {
             return false;
         }
-        Optional<ServerId> server = pool.select(job.batch, task.queued().task());
+        Optional<ServerId> server = pool.select(job.batch, task.queued().task(), SlotClaim.PROTECTED);
         if (server.isEmpty()) {
             withoutRoom.add(job.batch.id());
             return false;
@@ -133,14 +135,19 @@
     }
 
     /** Remembers the selected server, so that the queue's choice needs no second selection. */
-    private boolean isSendable(QueuedTask task, long nowNanos) {
+    private boolean isSendable(QueuedTask task, SlotClaim claim, long nowNanos) {
         RunningJob job = jobs.get(task.job());
         if (!job.usage.mayStart(nowNanos)) {
             return false;
         }
+        Optional<ServerId> server = pool.select(job.batch, task.task(), claim);
+        if (server.isEmpty()) {
+            return false;
+        }
         candidate = task;
-        candidateServer = pool.select(job.batch, task.task()).orElse(null);
-        return candidateServer != null;
+        candidateClaim = claim;
+        candidateServer = server.get();
+        return true;
     }
 
     /**
@@ -148,7 +155,7 @@
      * one is not (a server on probation takes idempotent tasks only), it goes back.
      */
     private boolean sendPolled(QueuedTask task, long nowNanos) {
-        if (!isCandidate(task) && !isSendable(task, nowNanos)) {
+        if (!isCandidate(task) && !isSendable(task, candidateClaim, nowNanos)) {
             queue.add(task);
             return false;
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/ServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/ServerPool.java
@@ -9,6 +9,7 @@
 import org.banyanspoke.core.config.ConfigState;
 import org.banyanspoke.core.dispatch.AttemptResult;
 import org.banyanspoke.core.dispatch.DispatcherStats;
+import org.banyanspoke.core.schedule.SlotClaim;
 
 /** The backend servers that one entry host may use, with their windows, learned speeds and failures. */
 public interface ServerPool {
@@ -21,8 +22,11 @@
     /** Returns whether any server in service may serve the batch, with or without room at present. */
     boolean hasEligible(BatchConfig batch);
 
-    /** Chooses a server with room for the task, or empty if all eligible ones are full, set aside or leaving. */
-    Optional<ServerId> select(BatchConfig batch, TaskSpec task);
+    /**
+     * Chooses a server with room for the task, or empty if all eligible ones are full, set aside or leaving. A server with
+     * room for a yielding task also has room for a protected one.
+     */
+    Optional<ServerId> select(BatchConfig batch, TaskSpec task, SlotClaim claim);
 
     /** Tells that a task was sent. */
     void onSent(ServerId server, TaskSpec task);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -22,6 +22,7 @@
 import org.banyanspoke.core.routing.ServerPool;
 import org.banyanspoke.core.routing.ServerSelector;
 import org.banyanspoke.core.routing.SubsetAssignment;
+import org.banyanspoke.core.schedule.SlotClaim;
 import org.banyanspoke.core.time.MonotonicClock;
 
 /** Servers with learned windows, speeds and failures. Selecting costs O(servers of this host), without streams. */
@@ -106,14 +107,14 @@
     }
 
     @Override
-    public Optional<ServerId> select(BatchConfig batch, TaskSpec task) {
+    public Optional<ServerId> select(BatchConfig batch, TaskSpec task, SlotClaim claim) {
         long nowNanos = clock.nanos();
         withRoom.clear();
         List<PooledServer> candidates = eligible(batch);
         double limitNanos = runTimeLimitNanos(batch, candidates);
         for (int i = 0; i < candidates.size(); i++) {
             PooledServer server = candidates.get(i);
-            if (server.admits(nowNanos, task.idempotent()) && server.endsWithin(limitNanos)) {
+            if (server.admits(nowNanos, task.idempotent(), claim) && server.endsWithin(limitNanos)) {
                 withRoom.add(server);
             }
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -10,6 +10,7 @@
 import org.banyanspoke.core.routing.ConcurrencyWindow;
 import org.banyanspoke.core.routing.OutlierDetector;
 import org.banyanspoke.core.routing.ServerCandidate;
+import org.banyanspoke.core.schedule.SlotClaim;
 
 /** Learned state of one server. */
 final class PooledServer implements ServerCandidate {
@@ -19,6 +20,12 @@
     /** A failure in less than this part of the expected time counts as two, so that it attracts no work. */
     private static final double FAST_FAILURE = 0.25;
 
+    /** Slots of each server that floods leave to other work; retained service in tight floods is 0.970 without any. */
+    private static final double RESERVED_SLOTS = 1;
+
+    /** An older load report says little, because most tasks last 50 ms to 1 s. */
+    private static final long LOAD_REPORT_NANOS = 2_000_000_000;
+
     private final RunTimeRatio ratio = new RunTimeRatio();
     private final RunTimeSpread runTimes = new RunTimeSpread();
     private final LeavingMark leavingMark = new LeavingMark();
@@ -32,6 +39,7 @@
     private int inFlight;
     private boolean lastFailed;
     private double othersLoad;
+    private long loadKnownUntilNanos;
     private double unknownRatio = 1;
 
     PooledServer(ConcurrencyWindow windowRule, OutlierDetector detector) {
@@ -68,8 +76,23 @@
         return config.state() == ServerState.LEAVING || leavingElsewhere || leavingMark.isSet();
     }
 
-    boolean admits(long nowNanos, boolean idempotent) {
-        return inFlight < (int) window && !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
+    boolean admits(long nowNanos, boolean idempotent, SlotClaim claim) {
+        return hasRoom(nowNanos, claim) && !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
+    }
+
+    /**
+     * Returns whether a claim finds room. The window divides the slots evenly among the hosts; a host with a burst of
+     * protected work goes beyond it where the last report shows free slots, and floods leave it some.
+     */
+    private boolean hasRoom(long nowNanos, SlotClaim claim) {
+        boolean inWindow = inFlight < (int) window;
+        if (loadKnownUntilNanos - nowNanos <= 0) {
+            return inWindow;
+        }
+        double free = slots() - expectedLoad();
+        return claim == SlotClaim.PROTECTED
+                ? inWindow || (free >= 1 && inFlight < AdaptiveWindow.MAX)
+                : inWindow && free >= 1 + RESERVED_SLOTS;
     }
 
     /** Returns whether the last result was no success. */
@@ -105,6 +128,7 @@
         inFlight = Math.max(0, inFlight - 1);
         if (result.load() != null) {
             othersLoad = Math.max(0, result.load().running() + result.load().queued() - inFlight);
+            loadKnownUntilNanos = nowNanos + LOAD_REPORT_NANOS;
         }
         lastFailed = result.outcome() != AttemptResult.Outcome.DONE;
         if (!lastFailed) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/RandomServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/RandomServerPool.java
@@ -19,6 +19,7 @@
 import org.banyanspoke.core.dispatch.AttemptResult;
 import org.banyanspoke.core.dispatch.DispatcherStats.ServerView;
 import org.banyanspoke.core.routing.ServerPool;
+import org.banyanspoke.core.schedule.SlotClaim;
 
 /**
  * The pool of the {@code baseline} policy: a random server in service with a free connection. It learns no speeds and
@@ -85,7 +86,7 @@
 
     /** Takes the first server with room after a random position. */
     @Override
-    public Optional<ServerId> select(BatchConfig batch, TaskSpec task) {
+    public Optional<ServerId> select(BatchConfig batch, TaskSpec task, SlotClaim claim) {
         List<ServerId> candidates = eligible(batch);
         if (candidates.isEmpty()) {
             return Optional.empty();
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/TaskQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/TaskQueue.java
@@ -1,7 +1,6 @@
 package org.banyanspoke.core.schedule;
 
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.banyanspoke.api.config.ClassShares;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.ids.JobId;
@@ -18,11 +17,10 @@
     /**
      * Takes the next task.
      *
-     * @param sendable whether a task can be sent now: a backend server with room is eligible and the team has quota; the
-     *     answer for one batch does not change during a call
+     * @param sendable whether a task can be sent now, given what its work may claim
      * @return the first task in order that is sendable, or empty
      */
-    Optional<QueuedTask> poll(Predicate<QueuedTask> sendable);
+    Optional<QueuedTask> poll(Sendable sendable);
 
     /** Removes all waiting tasks of a job and returns how many there were. */
     int removeJob(JobId job);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/ClassTasks.java
@@ -3,10 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.ids.TeamId;
-import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.Sendable;
+import org.banyanspoke.core.schedule.SlotClaim;
 
 /** Waiting and sent tasks of one class, by team. */
 final class ClassTasks {
@@ -121,11 +121,12 @@
     }
 
     /** Returns the first sendable job of the teams whose work does not pile up, or null. */
-    JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long poll, long nowNanos) {
+    JobTasks firstWithoutBacklog(Sendable sendable, long poll, long nowNanos) {
         boolean classPilesUp = pilesUp(nowNanos);
         for (TeamTasks team : waiting) {
             boolean usual = !classPilesUp || team.inFlight() < Math.max(2, 3 * team.usualSlots());
-            JobTasks job = team.pilesUp(nowNanos) || !usual ? null : team.firstSendable(sendable, poll);
+            JobTasks job =
+                    team.pilesUp(nowNanos) || !usual ? null : team.firstSendable(sendable, SlotClaim.PROTECTED, poll);
             if (job != null) {
                 return job;
             }
@@ -134,7 +135,7 @@
     }
 
     /** Returns the first sendable job of the team that is served next, or null. */
-    JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll) {
+    JobTasks firstSendable(Sendable sendable, long poll) {
         JobTasks best = null;
         double bestRank = Double.MAX_VALUE;
         for (TeamTasks team : waiting) {
@@ -142,7 +143,7 @@
             if (rank >= bestRank) {
                 continue;
             }
-            JobTasks job = team.firstSendable(sendable, poll);
+            JobTasks job = team.firstSendable(sendable, team.claim(), poll);
             if (job != null) {
                 best = job;
                 bestRank = rank;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FairShareQueue.java
@@ -3,12 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.banyanspoke.api.config.ClassShares;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.Sendable;
 import org.banyanspoke.core.schedule.TaskQueue;
 import org.banyanspoke.core.time.MonotonicClock;
 
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
+    public Optional<QueuedTask> poll(Sendable sendable) {
         polls++;
         long nowNanos = clock.nanos();
         updateGuarantees();
@@ -74,7 +74,7 @@
     }
 
     /** Returns the first sendable job of the most urgent class with teams whose work does not pile up, or null. */
-    private JobTasks firstWithoutBacklog(Predicate<QueuedTask> sendable, long nowNanos) {
+    private JobTasks firstWithoutBacklog(Sendable sendable, long nowNanos) {
         for (ClassTasks tasks : classes) {
             JobTasks job = tasks.firstWithoutBacklog(sendable, polls, nowNanos);
             if (job != null) {
@@ -85,7 +85,7 @@
     }
 
     /** Returns the first sendable job of the class that uses least of its usual level, or null. */
-    private JobTasks firstByUse(Predicate<QueuedTask> sendable) {
+    private JobTasks firstByUse(Sendable sendable) {
         JobTasks best = null;
         double bestRank = Double.MAX_VALUE;
         for (ClassTasks tasks : classes) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FirstComeFirstServedQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/FirstComeFirstServedQueue.java
@@ -8,13 +8,14 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 import org.banyanspoke.api.config.ClassShares;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.ids.BatchId;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.Sendable;
+import org.banyanspoke.core.schedule.SlotClaim;
 import org.banyanspoke.core.schedule.TaskQueue;
 
 /**
@@ -76,9 +77,9 @@
     }
 
     @Override
-    public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
+    public Optional<QueuedTask> poll(Sendable sendable) {
         for (Group group : heads) {
-            if (sendable.test(group.tasks.getFirst())) {
+            if (sendable.test(group.tasks.getFirst(), SlotClaim.PROTECTED)) {
                 return Optional.of(take(group));
             }
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/TeamTasks.java
@@ -2,10 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.banyanspoke.api.ids.BatchId;
 import org.banyanspoke.api.ids.TeamId;
-import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.Sendable;
+import org.banyanspoke.core.schedule.SlotClaim;
 
 /**
  * Waiting and sent tasks of one team in one class.
@@ -120,6 +120,11 @@
         return usage.rank(inFlight, size);
     }
 
+    /** Returns what the team's work may claim once it piles up. */
+    SlotClaim claim() {
+        return usage.isFlood(inFlight, size) ? SlotClaim.YIELDING : SlotClaim.PROTECTED;
+    }
+
     /** Returns the slots that the team usually uses. */
     double usualSlots() {
         return usage.slots();
@@ -130,10 +135,10 @@
     }
 
     /** Returns the job with the earliest deadline among the sendable batches, or null. */
-    JobTasks firstSendable(Predicate<QueuedTask> sendable, long poll) {
+    JobTasks firstSendable(Sendable sendable, SlotClaim claim, long poll) {
         while (true) {
             JobTasks first = firstNotRefused(poll);
-            if (first == null || sendable.test(first.first())) {
+            if (first == null || sendable.test(first.first(), claim)) {
                 return first;
             }
             first.batch().markRefused(poll);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/UsageLevel.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/UsageLevel.java
@@ -20,6 +20,12 @@
 
     private static final double MAX_OUTSTANDING = 64;
 
+    /**
+     * Outstanding work relative to the usual use from which on it counts as a flood. Least retained service in the tight
+     * floods of the load experiment: 0.984 with 12 (bursts count as floods), 0.988 with 16, 0.990 with 24, 0.962 with 48.
+     */
+    private static final double FLOOD_OUTSTANDING = 24;
+
     private double slots;
     private double guaranteedSlots;
     private double learnedNanos;
@@ -60,6 +66,11 @@
         return (inFlight + 0.5) / usual * Math.max(1, Math.min(MAX_OUTSTANDING, outstanding));
     }
 
+    /** Returns whether so much work is outstanding that it is a flood and not a burst. */
+    boolean isFlood(int inFlight, int waiting) {
+        return inFlight + waiting > FLOOD_OUTSTANDING * Math.max(LEAST_SLOTS, slots());
+    }
+
     /** Returns the usual use. */
     double slots() {
         return Math.max(slots, LEAST_PART * guaranteedSlots);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
@@ -33,6 +33,7 @@
 import org.banyanspoke.core.dispatch.DispatcherStats.ServerView;
 import org.banyanspoke.core.dispatch.LoadReport;
 import org.banyanspoke.core.routing.internal.RendezvousAssignment;
+import org.banyanspoke.core.schedule.SlotClaim;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -86,12 +87,12 @@
         @Test
         void prefersTheFasterAndThenTheNearerServer() {
             pool.configure(config(1, server(0, "z2", ServerState.IN_SERVICE), server(1, "z1", ServerState.IN_SERVICE)));
-            assertThat(pool.select(BATCH, TASK)).contains(S1);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S1);
             for (int i = 0; i < 10; i++) {
                 end(S0, Outcome.DONE, 50, new LoadReport(0, 0, 8));
                 end(S1, Outcome.DONE, 200, new LoadReport(0, 0, 8));
             }
-            assertThat(pool.select(BATCH, TASK)).contains(S0);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
         }
 
         /** Guards against failures that make a server look fast. */
@@ -141,16 +142,16 @@
         @Test
         void returnsWithOneIdempotentTaskAtATime() {
             failUntilEjected(2, 1);
-            assertThat(pool.select(BATCH, TASK)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
             nowNanos += 5 * SECOND;
-            assertThat(pool.select(BATCH, NOT_IDEMPOTENT)).isEmpty();
-            assertThat(pool.select(BATCH, TASK)).contains(S0);
+            assertThat(pool.select(BATCH, NOT_IDEMPOTENT, SlotClaim.PROTECTED)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
             pool.onSent(S0, TASK);
-            assertThat(pool.select(BATCH, TASK)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
             pool.onEnded(S0, TASK, new AttemptResult(Outcome.DONE, "", 100 * MILLI, null, false, "1"));
             end(S0, Outcome.DONE, 100, null);
             end(S0, Outcome.DONE, 100, null);
-            assertThat(pool.select(BATCH, NOT_IDEMPOTENT)).contains(S0);
+            assertThat(pool.select(BATCH, NOT_IDEMPOTENT, SlotClaim.PROTECTED)).contains(S0);
         }
 
         /** Guards against a server that fails for long and is tried every 5 s. */
@@ -166,6 +167,40 @@
         }
     }
 
+    @Nested
+    class Claims {
+        Claims() {
+            Map<HostId, EntryHostConfig> roster = new HashMap<>();
+            for (int i = 0; i < 8; i++) {
+                roster.put(host(i, "z1").id(), host(i, "z1"));
+            }
+            Map<ServerId, BackendServerConfig> servers = Map.of(S0, server(0, "z1", ServerState.IN_SERVICE));
+            pool.configure(new ConfigState(1, Map.of(), Map.of(), servers, roster, ClassShares.DEFAULT));
+        }
+
+        /** Guards against a flood that fills servers and against a reserve that an old load report keeps closed. */
+        @Test
+        void floodsLeaveASlotWhileTheReportIsRecent() {
+            end(S0, Outcome.DONE, 100, new LoadReport(7, 0, 8));
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
+            nowNanos += 2 * SECOND;
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).contains(S0);
+        }
+
+        /** Guards against a host that cannot use free slots for a burst, or goes beyond the free ones. */
+        @Test
+        void protectedWorkUsesFreeSlotsBeyondTheWindow() {
+            end(S0, Outcome.DONE, 100, new LoadReport(6, 0, 8));
+            pool.onSent(S0, TASK);
+            assertThat(view(S0).window()).isLessThan(2);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
+            pool.onSent(S0, TASK);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
+        }
+    }
+
     @Nested
     class FailingTasks {
         /** Guards against a job that can never run and sets every server aside. */
@@ -199,13 +234,13 @@
             answer(false, "1");
             assertThat(pool.hasEligible(BATCH)).isFalse();
             answer(false, "2");
-            assertThat(pool.select(BATCH, TASK)).contains(S0);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
             answer(true, "2");
             pool.configure(config(2, server(0, "z1", ServerState.LEAVING)));
             pool.configure(config(3, server(0, "z1", ServerState.IN_SERVICE)));
-            assertThat(pool.select(BATCH, TASK)).contains(S0);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
             pool.setLeaving(Set.of(S0));
-            assertThat(pool.select(BATCH, TASK)).isEmpty();
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
         }
     }
 
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/LoadExperiment.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/LoadExperiment.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -169,13 +170,17 @@
 
         void pump() {
             while (true) {
-                QueuedTask task = queue.poll(
-                                next -> pool.select(next.batch(), next.task()).isPresent())
+                Map<QueuedTask, ServerId> selected = new HashMap<>();
+                QueuedTask task = queue.poll((next, claim) -> {
+                            Optional<ServerId> server = pool.select(next.batch(), next.task(), claim);
+                            server.ifPresent(id -> selected.put(next, id));
+                            return server.isPresent();
+                        })
                         .orElse(null);
                 if (task == null) {
                     return;
                 }
-                send(task, pool.select(task.batch(), task.task()).orElseThrow());
+                send(task, selected.get(task));
             }
         }
 
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/LoadExperimentTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/LoadExperimentTest.java
@@ -10,7 +10,6 @@
 import org.banyanspoke.core.routing.LoadTrials.Flow;
 import org.banyanspoke.core.routing.LoadTrials.Policy;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -37,22 +36,13 @@
             "URGENT, -1, 0.20, 0.25, 0.35",
             "URGENT, -1, 0.40, 0.25, 0.15",
             "URGENT, -1, 0.10, 0.10, 0.60",
-            "URGENT, 2, 0.10, 0.10, 0.60"
-        })
-        void otherWorkIsRetained(UrgencyClass urgency, int team, double u, double n, double b) {
-            assertThat(retained(LoadTrials.ADAPTIVE, urgency, team, u, n, b)).isGreaterThanOrEqualTo(TARGET);
-        }
-
-        /** As above; below the target at present, see KNOWN-RED.txt. */
-        @Tag("known-red")
-        @ParameterizedTest
-        @CsvSource({
+            "URGENT, 2, 0.10, 0.10, 0.60",
             "BACKGROUND, -1, 0.40, 0.25, 0.15",
             "BACKGROUND, 2, 0.40, 0.25, 0.15",
             "URGENT, 2, 0.20, 0.25, 0.35",
             "URGENT, 2, 0.40, 0.25, 0.15"
         })
-        void otherWorkIsRetainedInTightFloods(UrgencyClass urgency, int team, double u, double n, double b) {
+        void otherWorkIsRetained(UrgencyClass urgency, int team, double u, double n, double b) {
             assertThat(retained(LoadTrials.ADAPTIVE, urgency, team, u, n, b)).isGreaterThanOrEqualTo(TARGET);
         }
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/StrictPriorityQueue.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/StrictPriorityQueue.java
@@ -2,12 +2,12 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.banyanspoke.api.config.ClassShares;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.ids.JobId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.core.schedule.QueuedTask;
+import org.banyanspoke.core.schedule.Sendable;
 import org.banyanspoke.core.schedule.TaskQueue;
 import org.banyanspoke.core.schedule.internal.FirstComeFirstServedQueue;
 
@@ -29,7 +29,7 @@
     }
 
     @Override
-    public Optional<QueuedTask> poll(Predicate<QueuedTask> sendable) {
+    public Optional<QueuedTask> poll(Sendable sendable) {
         return classes.stream().flatMap(queue -> queue.poll(sendable).stream()).findFirst();
     }
 
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/schedule/FairShareQueueTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/schedule/FairShareQueueTest.java
@@ -44,7 +44,7 @@
     }
 
     private QueuedTask poll() {
-        return queue.poll(task -> true).orElseThrow();
+        return queue.poll((task, claim) -> true).orElseThrow();
     }
 
     /** Runs a host with 40 slots whose tasks take 100 ms, for a time in ms, and counts the ended tasks by batch. */
@@ -61,7 +61,7 @@
                 ended.merge(task.batch().id(), 1, Integer::sum);
             }
             while (running.size() < 40) {
-                QueuedTask task = queue.poll(any -> true).orElse(null);
+                QueuedTask task = queue.poll((any, claim) -> true).orElse(null);
                 if (task == null) {
                     break;
                 }
@@ -93,12 +93,30 @@
         void passesOverABatchThatCannotBeSent() {
             queue.add(task(1, 0, UrgencyClass.URGENT, "a", 1, 10));
             queue.add(task(2, 0, UrgencyClass.NORMAL, "b", 1, 90));
-            assertThat(queue.poll(task -> task.batch().urgency() != UrgencyClass.URGENT))
+            assertThat(queue.poll((task, claim) -> task.batch().urgency() != UrgencyClass.URGENT))
                     .map(task -> task.job().sequence())
                     .contains(2L);
             assertThat(queue.size(UrgencyClass.URGENT)).isEqualTo(1);
         }
 
+        /** Guards against floods that may fill the servers, and against bursts that are taken for floods. */
+        @Test
+        void onlyFloodsYield() {
+            for (int i = 0; i < 40; i++) {
+                queue.add(task(1, i, UrgencyClass.URGENT, "flood", 1, 90));
+                if (i < 20) {
+                    queue.add(task(2, i, UrgencyClass.URGENT, "burst", 1, 90));
+                }
+            }
+            nowNanos += 2_000 * MILLI;
+            Map<String, SlotClaim> claims = new HashMap<>();
+            queue.poll((task, claim) -> {
+                claims.put(task.batch().team().value(), claim);
+                return false;
+            });
+            assertThat(claims).isEqualTo(Map.of("flood", SlotClaim.YIELDING, "burst", SlotClaim.PROTECTED));
+        }
+
         /** Guards against a task that loses its place because it was put back. */
         @Test
         void taskThatWasPutBackComesFirst() {
@@ -167,7 +185,7 @@
                         waiting.removeIf(other -> other.job().equals(task.job()));
                     }
                     case 1, 2, 3 ->
-                        tested.poll(any -> random.nextBoolean()).ifPresent(polled -> {
+                        tested.poll((any, claim) -> random.nextBoolean()).ifPresent(polled -> {
                             assertThat(waiting.remove(polled)).isTrue();
                             tested.onSent(polled);
                             sent.add(polled);
@@ -185,10 +203,10 @@
                 checkSizes(tested, waiting);
             }
             for (int left = waiting.size(); left > 0; left--) {
-                assertThat(waiting.remove(tested.poll(any -> true).orElseThrow()))
+                assertThat(waiting.remove(tested.poll((any, claim) -> true).orElseThrow()))
                         .isTrue();
             }
-            assertThat(tested.poll(any -> true)).isEmpty();
+            assertThat(tested.poll((any, claim) -> true)).isEmpty();
         }
 
         private void checkSizes(TaskQueue tested, Set<QueuedTask> waiting) {
