Let a new process of a leaving server end the leaving

The design says that leaving ends when the server reports a new incarnation, but nothing reported one: a leaving server gets no task whose response could say so, and only leaving responses reached LeavingServers. A replaced server stayed out until an operator wrote a ticket.

Two live hosts, chosen by rendezvous hash for each leaving server that the configuration has in service, ask its health route every 2 s. Another incarnation that is in service ends the leaving and is gossiped at once. A statement of the host list names no incarnation; it is tied to the first process that responds. A response that another statement has overtaken is ignored. The pool's own mark of a server ends with the statement of the control plane.

Ruled out: an incarnation in the host list. Incarnations have no order and the list lags, so an older process in the list could end the leaving of a newer one.

Measured: ControlServiceTest$LeavingServers passes with 3 hosts and a server that restarts, whether it said itself that it leaves or the list did.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
@@ -67,7 +67,9 @@
     }
 
     /**
-     * A server's own answer said whether it is leaving.
+     * A server's own answer said whether it is leaving. A statement that names no incarnation, as those of the host list,
+     * is taken to be about the first process that answers after it: the list lags, so this process may already be the next
+     * one, which then stays out until a ticket.
      *
      * @param incarnation the server's incarnation; empty if it did not say
      * @param configNumber number of the present configuration
@@ -78,10 +80,16 @@
         if (leaving && (known == null || !known.leaving() || !sameProcess)) {
             accept(server, incarnation, true, configNumber);
         } else if (!leaving && known != null && known.leaving() && !sameProcess && !incarnation.isEmpty()) {
-            accept(server, incarnation, false, configNumber);
+            boolean unnamed = known.incarnation().isEmpty();
+            accept(server, incarnation, unnamed, unnamed ? known.configNumber() : configNumber);
         }
     }
 
+    /** Returns whether a statement is still the latest one about its server. */
+    public boolean isLatest(ServerUpdate update) {
+        return update.equals(updates.get(update.server()));
+    }
+
     /** Takes a statement of a peer. Returns whether it was new. */
     public boolean merge(ServerUpdate update) {
         ServerUpdate known = updates.get(update.server());
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/LeavingMark.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/LeavingMark.java
@@ -20,7 +20,7 @@
         }
     }
 
-    /** A ticket put the server in service after it had said that it is leaving. */
+    /** A ticket or a new process of the server ended what it had said. */
     void clear() {
         leaving = false;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -52,7 +52,11 @@
         sharers = newSharers;
     }
 
+    /** The control plane's statement also covers what this server's own answers said, so its end clears the mark. */
     void setLeavingElsewhere(boolean leaving) {
+        if (leavingElsewhere && !leaving) {
+            leavingMark.clear();
+        }
         leavingElsewhere = leaving;
     }
 
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -35,6 +35,7 @@
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
 import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
+import org.banyanspoke.daemon.platform.HttpServerCheck;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.peer.FrameFilter;
@@ -148,6 +149,7 @@
                 controlSettings,
                 new HttpLogClient(rxVertx, settings.logAddress().toString()),
                 new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new HttpServerCheck(rxVertx),
                 new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create());
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
@@ -42,6 +42,7 @@
 import org.banyanspoke.daemon.control.internal.MemberViews;
 import org.banyanspoke.daemon.control.internal.PeerLink;
 import org.banyanspoke.daemon.control.internal.Prober;
+import org.banyanspoke.daemon.control.internal.ReturnWatch;
 import org.banyanspoke.daemon.control.internal.TicketAppender;
 import org.banyanspoke.daemon.platform.HostListClient;
 import org.banyanspoke.daemon.platform.LogClient;
@@ -70,6 +71,9 @@
     /** The list itself lags, so the poll must be short against the seconds in which a leaving server is to be spared. */
     private static final long HOST_LIST_MILLIS = 500;
 
+    /** A restart takes seconds; two hosts ask each leaving server, which is two small requests in this time. */
+    private static final long RETURN_CHECK_MILLIS = 2_000;
+
     /** Leaves 2.1 KB/s of the design's 3 KB/s to probes and the log. An unchanged list costs 0.6 KB/s. */
     private static final long HOST_LIST_BYTES_PER_SECOND = 900;
 
@@ -100,6 +104,7 @@
     private final LogDuty duty;
     private final HostListWatch hostList;
     private final LeavingNews leaving;
+    private final ReturnWatch returns;
     private final PeerLink peers;
     private final Prober prober;
     private final ConfigSpread spread;
@@ -115,6 +120,7 @@
      * @param settings this host
      * @param log the platform's log
      * @param hostListClient the platform's list of hosts
+     * @param serverCheck asks leaving backend servers
      * @param transport carries messages between entry hosts; started and stopped by this service
      * @param clock for limits and intervals
      * @param random chooses members; used on the control thread only
@@ -123,6 +129,7 @@
             ControlSettings settings,
             LogClient log,
             HostListClient hostListClient,
+            ServerCheck serverCheck,
             PeerTransport transport,
             MonotonicClock clock,
             UniformRandomProvider random) {
@@ -139,6 +146,7 @@
         this.duty = new LogDuty(settings.host(), settings.zone(), swim, config, reader, log, clock);
         ByteBudget budget = new ByteBudget(HOST_LIST_BYTES_PER_SECOND, HOST_LIST_BURST_BYTES, clock);
         this.hostList = new HostListWatch(hostListClient, budget, swim.servers(), config, controlThread);
+        this.returns = new ReturnWatch(serverCheck, swim.servers(), config, duty, controlThread);
         this.peers = new PeerLink(transport, swim, controlThread, random);
         this.spread = new ConfigSpread(config, confirmation, swim, peers);
         this.prober = new Prober(swim, peers, this::onGossip);
@@ -165,6 +173,7 @@
         everyTask(SECOND_MILLIS, this::pullIfDue);
         everyTask(EXCHANGE_MILLIS, this::exchange);
         everyTask(HOST_LIST_MILLIS, this::readHostListIfDue);
+        everyTask(RETURN_CHECK_MILLIS, () -> returns.checkAll().doOnComplete(leaving::publish));
         everyTask(SNAPSHOT_CHECK_MILLIS, duty::writeSnapshotIfDue);
     }
 
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LogDuty.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LogDuty.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.api.json.Json;
 import org.banyanspoke.core.config.ConfigTracker;
@@ -15,13 +16,16 @@
 import org.banyanspoke.daemon.platform.LogClient;
 import org.jboss.logging.Logger;
 
-/** Decides which live host reads the log and which one writes snapshots, without messages. */
+/** Decides which live hosts read the log, write snapshots and check leaving servers, without messages. */
 public final class LogDuty {
     private static final Logger LOG = Logger.getLogger(LogDuty.class);
 
     /** The design's number of readers of the log in each zone. */
     private static final int READERS_PER_ZONE = 2;
 
+    /** One more than needed, for a host that is cut off from the server. */
+    private static final int CHECKERS_PER_SERVER = 2;
+
     private static final int SNAPSHOT_TICKETS = 100;
     private static final long SNAPSHOT_MILLIS = 3_600_000;
 
@@ -71,6 +75,12 @@
         return Rendezvous.choose("log/" + zone, hosts, READERS_PER_ZONE).contains(self);
     }
 
+    /** Returns whether this host is one of those that check a leaving server. */
+    public boolean isCheckerOf(ServerId server) {
+        return Rendezvous.choose("server/" + server, liveHosts(), CHECKERS_PER_SERVER)
+                .contains(self);
+    }
+
     /**
      * Writes a snapshot if one is due and this host is chosen. Reads the log first, because a host that is no reader does
      * not see the snapshots of others. A second snapshot does no harm.
@@ -95,10 +105,14 @@
     }
 
     private boolean isWriter() {
+        String key = "snapshot/" + config.state().number();
+        return Rendezvous.choose(key, liveHosts(), 1).contains(self);
+    }
+
+    private List<HostId> liveHosts() {
         List<HostId> hosts = new ArrayList<>(List.of(self));
         swim.table().live().stream().map(Member::config).forEach(member -> hosts.add(member.id()));
-        String key = "snapshot/" + config.state().number();
-        return Rendezvous.choose(key, hosts, 1).contains(self);
+        return hosts;
     }
 
     private Completable writeSnapshot() {
--- /dev/null
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/HttpServerCheck.java
@@ -0,0 +1,46 @@
+package org.banyanspoke.daemon.platform;
+
+import com.google.common.net.HostAndPort;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.rxjava3.core.Vertx;
+import io.vertx.rxjava3.core.http.HttpClient;
+import io.vertx.rxjava3.core.http.HttpClientResponse;
+import java.util.concurrent.TimeUnit;
+import org.banyanspoke.daemon.control.ServerCheck;
+
+/**
+ * {@link ServerCheck} by the server's health route, with a connection for each check: checks are rare, and the server may
+ * have been replaced since the last one. Results arrive on a Vert.x thread.
+ */
+public final class HttpServerCheck implements ServerCheck {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    private final HttpClient client;
+
+    /**
+     * @param vertx runs the requests
+     */
+    public HttpServerCheck(Vertx vertx) {
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(false).setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+    }
+
+    @Override
+    public Single<Statement> check(String address) {
+        HostAndPort server = HostAndPort.fromString(address);
+        return client.rxRequest(HttpMethod.GET, server.getPort(), server.getHost(), "/health")
+                .flatMap(request -> request.rxSend()
+                        .map(HttpServerCheck::toStatement)
+                        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                        .doOnError(e -> request.reset()));
+    }
+
+    private static Statement toStatement(HttpClientResponse response) {
+        String incarnation = response.getHeader("Server-Incarnation");
+        boolean leaving = "leaving".equals(response.getHeader("Server-State"));
+        return new Statement(incarnation == null ? "" : incarnation, leaving);
+    }
+}
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
@@ -252,6 +252,7 @@
 
     @Nested
     class LeavingServers {
+        private static final ServerId SERVER = new ServerId("s1");
         private static final int REPORTS = 10;
         /** With the next probe only, a report takes up to 2 s to reach both other hosts, and 0.8 s on average. */
         private static final long LIMIT_MILLIS = 300 * REPORTS;
@@ -282,6 +283,42 @@
             assertThat((System.nanoTime() - startNanos) / 1_000_000).isLessThan(500 * REPORTS + LIMIT_MILLIS);
         }
 
+        /** Guards against a replaced server that gets no work until an operator writes a ticket. */
+        @Test
+        void newIncarnationEndsLeavingEverywhere() throws Exception {
+            startWithServer(new ServerCheck.Statement("1", true));
+            cluster.host("h1").reportLeaving(SERVER, "1");
+            TestCluster.await(5_000, () -> isLeavingEverywhere(SERVER));
+            cluster.serverCheck = address -> Single.just(new ServerCheck.Statement("2", false));
+            TestCluster.await(10_000, () -> isLeavingNowhere(SERVER));
+        }
+
+        /** Guards against a server that is marked by the list only and returns because it does not know that it leaves. */
+        @Test
+        void processThatTheListMarkedStaysOutAndItsSuccessorReturns() throws Exception {
+            startWithServer(new ServerCheck.Statement("1", false));
+            cluster.list(new ListedHost("s1", ListedHost.Role.BACKEND, ListedHost.State.LEAVING));
+            TestCluster.await(5_000, () -> isLeavingEverywhere(SERVER));
+            Thread.sleep(5_000);
+            assertThat(isLeavingEverywhere(SERVER)).isTrue();
+            cluster.serverCheck = address -> Single.just(new ServerCheck.Statement("2", false));
+            TestCluster.await(10_000, () -> isLeavingNowhere(SERVER));
+        }
+
+        private void startWithServer(ServerCheck.Statement statement) throws Exception {
+            cluster.serverCheck = address -> Single.just(statement);
+            cluster.startWithRoster();
+            cluster.append("h1", TestCluster.server(2, "s1", "127.0.0.1:1"));
+            cluster.awaitNumber("h2", 2);
+            cluster.awaitNumber("h3", 2);
+        }
+
+        private boolean isLeavingNowhere(ServerId server) {
+            return List.of("h1", "h2", "h3").stream()
+                    .noneMatch(host ->
+                            cluster.host(host).leavingServers().blockingFirst().contains(server));
+        }
+
         private boolean isLeavingEverywhere(ServerId server) {
             return List.of("h1", "h2", "h3").stream()
                     .allMatch(host ->
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/TestCluster.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/TestCluster.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.daemon.control;
 
 import io.reactivex.rxjava3.core.Single;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
@@ -12,11 +13,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.config.BackendServerConfig;
 import org.banyanspoke.api.config.EntryHostConfig;
+import org.banyanspoke.api.config.ServerState;
 import org.banyanspoke.api.config.TeamConfig;
 import org.banyanspoke.api.config.Ticket;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.api.ids.TeamId;
 import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.daemon.platform.HostListRead;
@@ -38,6 +42,9 @@
 
     final FakeLog log = new FakeLog();
 
+    /** Answers for all backend servers. */
+    volatile ServerCheck serverCheck = address -> Single.error(new IOException("no server at " + address));
+
     TestCluster(int hosts) throws Exception {
         List<ServerSocket> reserved = new ArrayList<>();
         for (int i = 1; i <= hosts; i++) {
@@ -68,6 +75,7 @@
                         new HostId(host), incarnation, new ZoneId("z1"), address(host), address(host), seeds),
                 ownLog,
                 () -> Single.just(new HostListRead(listed, 0)),
+                address -> serverCheck.check(address),
                 transport,
                 System::nanoTime,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(lastIncarnation));
@@ -119,6 +127,14 @@
         return new Ticket(1, "roster", "alice", new Ticket.Put(List.of(team), null, null, hosts, null), null);
     }
 
+    /** Puts a backend server in service. */
+    static Ticket server(long number, String id, String address) {
+        BackendServerConfig server = new BackendServerConfig(
+                new ServerId(id), new ZoneId("z1"), "r1", address, 8, 64, Set.of(), ServerState.IN_SERVICE);
+        return new Ticket(
+                number, "server-" + id, "alice", new Ticket.Put(null, null, List.of(server), null, null), null);
+    }
+
     static Ticket weight(long number, String ticketId, int weight) {
         TeamConfig team = new TeamConfig(new TeamId("a"), weight, 300, 300, "0".repeat(64));
         return new Ticket(number, ticketId, "alice", new Ticket.Put(List.of(team), null, null, null, null), null);
