--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Ports.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Ports.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free ports on loopback. */
-final class Ports {
+public final class Ports {
     /** Below the range that Linux gives to outgoing connections (32768 and up). */
     private static final int LOWEST = 12_000;
 
@@ -20,7 +20,7 @@
      *
      * @throws IOException if none is found
      */
-    static int block(int count) throws IOException {
+    public static int block(int count) throws IOException {
         for (int tried = 0; tried < MAX_TRIES; tried++) {
             int first = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST - count);
             if (allFree(first, count)) {
--- a/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/TestCluster.java
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/TestCluster.java
@@ -7,10 +7,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.banyanspoke.api.config.ServerState;
 import org.banyanspoke.api.config.Ticket;
 import org.banyanspoke.api.json.Json;
+import org.banyanspoke.bench.internal.HttpJson;
+import org.banyanspoke.bench.internal.ManagedProcess;
 import org.banyanspoke.scenarios.history.Event;
 
 /** The processes of one scenario, and the faults that a scenario can bring about. Closing it kills what still runs. */
@@ -29,9 +36,11 @@
     private final Path directory;
     private final Layout layout;
     private final HistoryRecorder recorder;
-    private final Http http = new Http();
-    private final List<ScenarioProcess> standins = new ArrayList<>();
-    private final List<ScenarioProcess> hosts = new ArrayList<>();
+    private final List<Object> observers;
+    private final HttpJson http = new HttpJson();
+    private final List<ManagedProcess> standins = new ArrayList<>();
+    private final Set<Integer> starting = ConcurrentHashMap.newKeySet();
+    private final List<ManagedProcess> hosts = new CopyOnWriteArrayList<>();
 
     /**
      * @param home directory that holds {@code bin}
@@ -45,6 +54,7 @@
         this.directory = Files.createTempDirectory("banyanspoke-scenario");
         this.layout = Layout.onFreePorts(hosts, servers);
         this.recorder = recorder;
+        this.observers = Stream.generate(Object::new).limit(hosts).toList();
     }
 
     /** Starts everything, sends ticket 1 and waits until every entry host is ready. */
@@ -79,21 +89,27 @@
     }
 
     private void standin(String kind, int port, int controlPort, String... more) throws IOException {
-        List<String> arguments = new ArrayList<>(
-                List.of(kind, "--port", String.valueOf(port), "--control-port", String.valueOf(controlPort)));
-        arguments.addAll(List.of(more));
-        Path script = home.resolve("bin/banyanspoke-standin");
-        standins.add(ScenarioProcess.start(script, SMALL, directory.resolve(kind + ".out"), arguments));
+        List<String> command = new ArrayList<>(List.of(
+                home.resolve("bin/banyanspoke-standin").toString(),
+                kind,
+                "--port",
+                String.valueOf(port),
+                "--control-port",
+                String.valueOf(controlPort)));
+        command.addAll(List.of(more));
+        standins.add(ManagedProcess.start(command, SMALL, directory.resolve(kind + ".out")));
     }
 
-    private ScenarioProcess startHost(int host) throws IOException {
+    private ManagedProcess startHost(int host) throws IOException {
         Path settings = directory.resolve(Layout.hostId(host) + ".json");
         Files.write(settings, Json.mapper().writeValueAsBytes(layout.settings(host)));
-        return ScenarioProcess.start(
-                home.resolve("bin/banyanspoked"),
-                HOST,
-                directory.resolve(Layout.hostId(host) + ".out"),
-                List.of("--settings", settings.toString()));
+        List<String> command = List.of(home.resolve("bin/banyanspoked").toString(), "--settings", settings.toString());
+        return ManagedProcess.start(command, HOST, directory.resolve(Layout.hostId(host) + ".out"));
+    }
+
+    /** Returns the number of backend servers. */
+    public int servers() {
+        return layout.servers();
     }
 
     /** Returns the number of entry hosts. */
@@ -114,6 +130,7 @@
 
     /** Kills an entry host. */
     public void killHost(int host) {
+        recorder.add(new Event.HostKilled(System.currentTimeMillis(), Layout.hostId(host)));
         hosts.get(host).kill();
     }
 
@@ -129,7 +146,9 @@
 
     /** Starts a new process in place of one that has ended. */
     public void startHostAgain(int host) throws Exception {
+        starting.add(host);
         hosts.set(host, startHost(host));
+        recorder.add(new Event.HostStarted(System.currentTimeMillis(), Layout.hostId(host)));
     }
 
     /** Begins the graceful shutdown of an entry host. */
@@ -138,9 +157,10 @@
         hosts.get(host).signal("TERM");
     }
 
-    /** Waits until an entry host has ended and returns its exit code. */
+    /** Waits until an entry host has ended and returns its exit code; -1 if it did not end in time. */
     public int awaitStop(int host) throws Exception {
-        return hosts.get(host).awaitExit(STOP_LIMIT_MILLIS);
+        ManagedProcess process = hosts.get(host);
+        return process.awaitEnd(STOP_LIMIT_MILLIS) ? process.exitCode() : -1;
     }
 
     /** Changes options of the log stand-in. */
@@ -158,11 +178,16 @@
         recorder.add(new Event.Leaving(System.currentTimeMillis(), Layout.serverId(server)));
     }
 
-    /** Lets the host list say that a backend server is leaving. */
-    public void listServerAsLeaving(int server) throws Exception {
+    /** Records that a ticket may put a backend server in service again from now on. */
+    public void recordInService(int server) {
+        recorder.add(new Event.InService(System.currentTimeMillis(), Layout.serverId(server)));
+    }
+
+    /** Lets the host list say which backend servers are leaving. */
+    public void listAsLeaving(Set<Integer> servers) throws Exception {
         List<Map<String, String>> listed = new ArrayList<>();
         for (int i = 0; i < layout.servers(); i++) {
-            String state = i == server ? "leaving" : "live";
+            String state = servers.contains(i) ? "leaving" : "live";
             listed.add(Map.of("id", Layout.serverId(i), "role", "backend", "state", state));
         }
         for (int i = 0; i < layout.hosts(); i++) {
@@ -183,9 +208,21 @@
         control(layout.relayControl(), "/links", Map.of("ports", ports, "state", state));
     }
 
+    /** Cuts or opens the links by which others reach the hosts of a zone, numbered from 0. */
+    public void setZoneLinks(int zone, String state) throws Exception {
+        for (int host : layout.hostsOfZone(zone)) {
+            setLinks(host, true, false, state);
+        }
+    }
+
+    /** Opens all links. */
+    public void openAllLinks() throws Exception {
+        control(layout.relayControl(), "/links", Map.of("ports", List.of(), "state", "open"));
+    }
+
     /** Sends a ticket through a host, records acceptance, and returns the HTTP status. */
     public int sendTicket(int host, Ticket ticket) throws Exception {
-        Http.Answer answer = http.send(
+        HttpJson.Answer answer = http.send(
                 "POST", layout.admin(host), "/v1/admin/tickets", ticket, Layout.OPERATOR_TOKEN, TICKET_LIMIT_MILLIS);
         if (answer.status() == 200) {
             recorder.add(new Event.TicketAccepted(System.currentTimeMillis(), ticket.number(), ticket.ticketId()));
@@ -198,22 +235,34 @@
         return Layout.promiseTicket(number, ticketId, promiseMillis);
     }
 
-    /** Builds a ticket that marks a server as leaving. */
-    public Ticket leavingTicket(long number, int server) {
-        return layout.leavingTicket(number, server);
+    /** Builds a ticket that changes only the state of a server. */
+    public Ticket serverTicket(long number, int server, ServerState state) {
+        return layout.serverTicket(number, server, state);
     }
 
-    /** Reads the configuration number of a host and records it; -1 if the host does not answer. */
+    /**
+     * Reads the configuration number of a host and records it; -1 if the host does not answer, or if it has not been ready since its
+     * start: until then it refuses all work, so no number is in force there.
+     */
     public long observeConfig(int host, boolean reachable) throws InterruptedException {
-        try {
-            JsonNode status = http.send(
-                            "GET", layout.admin(host), "/v1/admin/status", null, Layout.OPERATOR_TOKEN, 1_000)
-                    .body();
-            long number = status.path("configNumber").asLong(-1);
-            recorder.add(new Event.ConfigSeen(System.currentTimeMillis(), Layout.hostId(host), number, reachable));
-            return number;
-        } catch (IOException e) {
-            return -1;
+        // One request at a time for each host, so that two observers cannot record their numbers in the wrong order.
+        synchronized (observers.get(host)) {
+            long atMillis = System.currentTimeMillis();
+            try {
+                JsonNode status = http.send(
+                                "GET", layout.admin(host), "/v1/admin/status", null, Layout.OPERATOR_TOKEN, 1_000)
+                        .body();
+                if (status.path("ready").asBoolean()) {
+                    starting.remove(host);
+                } else if (starting.contains(host)) {
+                    return -1;
+                }
+                long number = status.path("configNumber").asLong(-1);
+                recorder.add(new Event.ConfigSeen(atMillis, Layout.hostId(host), number, reachable));
+                return number;
+            } catch (IOException e) {
+                return -1;
+            }
         }
     }
 
@@ -238,7 +287,7 @@
     /** Returns the output of every process, for a failed scenario. */
     public String outputs() throws IOException {
         StringBuilder text = new StringBuilder();
-        try (java.util.stream.Stream<Path> files = Files.list(directory)) {
+        try (Stream<Path> files = Files.list(directory)) {
             for (Path file :
                     files.filter(f -> f.toString().endsWith(".out")).sorted().toList()) {
                 List<String> lines = Files.readAllLines(file);
@@ -251,12 +300,17 @@
         return text.toString();
     }
 
+    /** Returns the directory of settings, outputs and the ledger. */
+    public Path directory() {
+        return directory;
+    }
+
     private Path ledgerFile() {
         return directory.resolve("ledger.jsonl");
     }
 
     private void control(int port, String path, Object body) throws Exception {
-        Http.Answer answer = http.send("POST", port, path, body, "", REQUEST_LIMIT_MILLIS);
+        HttpJson.Answer answer = http.send("POST", port, path, body, "", REQUEST_LIMIT_MILLIS);
         if (answer.status() / 100 != 2) {
             throw new IOException("control request " + path + " was answered with " + answer.status());
         }
@@ -284,8 +338,8 @@
 
     @Override
     public void close() {
-        hosts.forEach(ScenarioProcess::kill);
-        standins.forEach(ScenarioProcess::kill);
+        hosts.forEach(ManagedProcess::kill);
+        standins.forEach(ManagedProcess::kill);
     }
 
     /** Returns the indexes of all hosts. */
--- a/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/history/Event.java
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/history/Event.java
@@ -20,6 +20,9 @@
     @JsonSubTypes.Type(value = Event.Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Event.Leaving.class, name = "leaving"),
     @JsonSubTypes.Type(value = Event.PlannedStop.class, name = "plannedStop"),
+    @JsonSubTypes.Type(value = Event.HostKilled.class, name = "hostKilled"),
+    @JsonSubTypes.Type(value = Event.HostStarted.class, name = "hostStarted"),
+    @JsonSubTypes.Type(value = Event.InService.class, name = "inService"),
     @JsonSubTypes.Type(value = Event.TicketAccepted.class, name = "ticketAccepted"),
     @JsonSubTypes.Type(value = Event.ConfigSeen.class, name = "configSeen")
 })
@@ -70,6 +73,15 @@
     /** A graceful shutdown of an entry host began. */
     record PlannedStop(long atMillis, String host) implements Event {}
 
+    /** The process of an entry host was killed; a planned stop of it may now cut off requests. */
+    record HostKilled(long atMillis, String host) implements Event {}
+
+    /** A new process took the place of an entry host that had ended. */
+    record HostStarted(long atMillis, String host) implements Event {}
+
+    /** From now on a ticket may put the backend server in service again. */
+    record InService(long atMillis, String server) implements Event {}
+
     /** An operator was told that a ticket is accepted. */
     record TicketAccepted(long atMillis, long number, String ticketId) implements Event {}
 
--- a/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/steps/ParameterTypes.java
+++ b/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/steps/ParameterTypes.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.scenarios.steps;
 
 import io.cucumber.java.ParameterType;
+import org.banyanspoke.scenarios.cluster.Contract;
 
 /** Words of the scenario language. */
 public class ParameterTypes {
@@ -8,4 +9,16 @@
     public boolean idempotence(String word) {
         return word.equals("idempotent");
     }
+
+    /** Reads a team by the name it has in the features. */
+    @ParameterType("the first team|the other team|the flooding team|the limited team|the expired contract")
+    public Contract contract(String words) {
+        return switch (words) {
+            case "the first team" -> Contract.MAIN;
+            case "the other team" -> Contract.OTHER;
+            case "the flooding team" -> Contract.FLOOD;
+            case "the limited team" -> Contract.LIMITED;
+            default -> Contract.EXPIRED;
+        };
+    }
 }
--- a/banyanspoke-scenarios/src/test/resources/features/graceful_stop.feature
+++ b/banyanspoke-scenarios/src/test/resources/features/graceful_stop.feature
@@ -16,3 +16,18 @@
     And all callers have their answers
     Then all jobs are complete
     And no rule is broken
+
+  Scenario: A host with jobs of several seconds stops under callers that keep their connections
+    Given a system of 3 entry hosts and 4 backend servers
+    When callers submit 30 jobs of 2 idempotent tasks of 20 ms through host 1
+    And all callers have their answers
+    And callers submit 6 jobs of 8 non-idempotent tasks of 4000 ms through host 1
+    And 36 jobs have been accepted
+    And 500 ms pass
+    And host 1 begins to stop gracefully
+    And callers submit 10 jobs of 2 idempotent tasks of 50 ms
+    And all callers have their answers
+    Then host 1 has stopped gracefully
+    And at least 36 jobs are complete
+    And every job is complete or has failed with DRAINING
+    And no rule is broken
