Refuse and await forwarded requests in a planned stop

Cause: a stopping host went on to pass requests for jobs of other hosts on to their owners until it exited, and cut off those still waiting after 10 s.

Change: from the moment new work is refused, forwards are refused too, and the stop waits for those in progress; each ends within its own time limit.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -67,6 +67,7 @@
     private final HttpService callers;
     private final HostGate gate;
     private final DrainCoordinator drain;
+    private final StoppableForwarder forwarder;
 
     Daemon(Settings settings) {
         this.settings = settings;
@@ -82,8 +83,9 @@
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
         this.drain =
                 new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
+        this.forwarder = new StoppableForwarder(control::forward);
         this.callers = HttpServices.callers(
-                trafficVertx, settings.callers(), callerLoops, control, dispatch, control::forward, this, metrics);
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, forwarder, this, metrics);
         control.attach(new ForwardedJobs(dispatch));
         register(metrics);
     }
@@ -184,7 +186,7 @@
 
     private Future<Void> refuseNewWork() {
         gate.startDraining();
-        return dispatch.drain();
+        return Future.all(dispatch.drain(), forwarder.stop()).mapEmpty();
     }
 
     private Future<Void> handOver() {
--- /dev/null
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/StoppableForwarderTest.java
@@ -0,0 +1,53 @@
+package org.banyanspoke.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.observers.TestObserver;
+import io.reactivex.rxjava3.subjects.SingleSubject;
+import io.vertx.core.Future;
+import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.RefusedException;
+import org.banyanspoke.daemon.control.ForwardReply;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class StoppableForwarderTest {
+    private static final ForwardReply REPLY = new ForwardReply(200, new byte[0], 0);
+
+    private final SingleSubject<ForwardReply> owner = SingleSubject.create();
+    private final StoppableForwarder forwarder = new StoppableForwarder((request, timeoutMillis) -> owner);
+
+    @Nested
+    class Stop {
+        /** Guards against a planned stop that cuts off a caller whose job another host still runs. */
+        @Test
+        void waitsForRequestsInProgress() {
+            TestObserver<ForwardReply> caller = forwarder.forward(null, 1).test();
+            Future<Void> stopped = forwarder.stop();
+            assertThat(stopped.isComplete()).isFalse();
+            owner.onSuccess(REPLY);
+            caller.assertValue(REPLY);
+            assertThat(stopped.succeeded()).isTrue();
+        }
+
+        /** Guards against a stop that never ends because callers go on sending requests for jobs of other hosts. */
+        @Test
+        void refusesFurtherRequests() {
+            assertThat(forwarder.stop().succeeded()).isTrue();
+            forwarder
+                    .forward(null, 1)
+                    .test()
+                    .assertError(e -> e instanceof RefusedException refused && refused.kind() == ErrorKind.DRAINING);
+        }
+
+        /** Guards against a request that counts for ever because its owner failed. */
+        @Test
+        void doesNotWaitForFailedRequests() {
+            TestObserver<ForwardReply> caller = forwarder.forward(null, 1).test();
+            Future<Void> stopped = forwarder.stop();
+            owner.onError(new IllegalStateException("owner failed"));
+            caller.assertError(IllegalStateException.class);
+            assertThat(stopped.succeeded()).isTrue();
+        }
+    }
+}
