--- a/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/Callers.java
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/Callers.java
@@ -52,6 +52,7 @@
     private final Map<String, String> resultByTask = new ConcurrentHashMap<>();
     private final Set<Job> open = ConcurrentHashMap.newKeySet();
     private final AtomicInteger reserved = new AtomicInteger();
+    private final Map<String, String> messages = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> ends = new ConcurrentHashMap<>();
 
     /** Creates callers of a cluster. */
@@ -206,6 +207,10 @@
         ErrorKind kind = answer.path("error").has("kind")
                 ? ErrorKind.valueOf(answer.path("error").path("kind").asText())
                 : null;
+        if (kind != null) {
+            messages.putIfAbsent(
+                    kind.name(), answer.path("error").path("message").asText());
+        }
         Execution execution = kind == null ? null : kind.execution();
         Map<String, String> results = new HashMap<>();
         answer.path("tasks")
@@ -229,6 +234,11 @@
         return Map.copyOf(ends);
     }
 
+    /** Returns the first message of each error kind. */
+    public Map<String, String> messages() {
+        return Map.copyOf(messages);
+    }
+
     /** Returns the number of jobs for which an id was reserved. */
     public int reservedJobs() {
         return reserved.get();
