State 'not run' for jobs of which nothing was started before the promise or the contract ended

Cause: a job that never had room, or whose servers had gone, ended as DEADLINE_EXCEEDED, which says 'may have run', though no request for any of its tasks was written. The same held for CONTRACT_EXPIRED_RUNNING.

Ruled out: OVERLOADED and NO_ELIGIBLE_SERVER for the first case. They are refusals at admission, and a job that was accepted and missed its promise must remain visible as one. Another execution statement for one kind would break the rule of one statement for each kind.

Change: new kind NOT_STARTED_IN_TIME (504, not_run); CONTRACT_EXPIRED instead of CONTRACT_EXPIRED_RUNNING if nothing was written. DispatcherTest.noMoveAfterTheContract expected 'may have run' for a job whose only request was not written; errors.md gives CONTRACT_EXPIRED for an expiry before any start, so the test now expects that kind.

--- a/banyanspoke-api/src/main/java/org/banyanspoke/api/errors/ErrorKind.java
+++ b/banyanspoke-api/src/main/java/org/banyanspoke/api/errors/ErrorKind.java
@@ -53,8 +53,10 @@
     DRAINING(503, Execution.NOT_RUN),
     /** The entry host has no confirmed configuration. */
     NOT_CONFIGURED(503, Execution.NOT_RUN),
-    /** The job did not finish within its promise. */
+    /** The job did not finish within its promise; some of its tasks may have run. */
     DEADLINE_EXCEEDED(504, Execution.MAY_HAVE_RUN),
+    /** The promise of the job ended before any of its tasks was started. */
+    NOT_STARTED_IN_TIME(504, Execution.NOT_RUN),
     /** The job was cancelled. */
     CANCELLED(409, Execution.MAY_HAVE_RUN),
     /** A backend server reported that a task failed. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/DefaultDispatcher.java
@@ -301,7 +301,7 @@
     private void expireDue() {
         Optional<RunningJob> overdue = jobs.firstOverdue(clock.nanos());
         while (overdue.isPresent()) {
-            fail(overdue.get(), ErrorKind.DEADLINE_EXCEEDED, "the job did not finish within its promise");
+            failOverdue(overdue.get());
             overdue = jobs.firstOverdue(clock.nanos());
         }
         Optional<RunningJob> expired = jobs.firstExpired(wallClock.instant());
@@ -311,6 +311,15 @@
         }
     }
 
+    /** The counts prove that nothing was run if no request for any task was written. */
+    private void failOverdue(RunningJob job) {
+        if (job.execution.mayHaveStarted()) {
+            fail(job, ErrorKind.DEADLINE_EXCEEDED, "the job did not finish within its promise");
+        } else {
+            fail(job, ErrorKind.NOT_STARTED_IN_TIME, "no task was started within the promise of the job");
+        }
+    }
+
     /** A job whose tasks have all started may finish. */
     private void onContractExpired(RunningJob job) {
         if (job.execution.count(TaskState.WAITING) == 0) {
@@ -323,7 +332,7 @@
     private void failExpired(RunningJob job) {
         fail(
                 job,
-                ErrorKind.CONTRACT_EXPIRED_RUNNING,
+                job.execution.mayHaveStarted() ? ErrorKind.CONTRACT_EXPIRED_RUNNING : ErrorKind.CONTRACT_EXPIRED,
                 "the contract of batch \"" + job.batch.id() + "\" expired at " + job.batch.contractExpiry()
                         + " before all tasks had started");
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -95,6 +95,16 @@
             assertFailed(caller, ErrorKind.DEADLINE_EXCEEDED, new JobCounts(0, 0, 0, 0, 1, 0));
         }
 
+        /** Guards against "may have run" for a job of which the counts prove that nothing was started. */
+        @Test
+        void promiseWithoutAStartIsNotRun() throws Exception {
+            submit(16, false);
+            Caller withoutRoom = submit(5, false);
+            fixture.advanceMillis(DispatcherFixture.PROMISE_MILLIS);
+            assertFailed(withoutRoom, ErrorKind.NOT_STARTED_IN_TIME, new JobCounts(0, 0, 0, 0, 0, 5));
+            assertThat(withoutRoom.only().error().execution()).isEqualTo(Execution.NOT_RUN);
+        }
+
         /** Guards against slots that are freed twice by a transport that reports an attempt twice. */
         @Test
         void secondResultIsIgnored() throws Exception {
@@ -277,7 +287,7 @@
             Caller caller = submit(1, false);
             fixture.configure(fixture.wallClock.now, DispatcherFixture.S1, DispatcherFixture.S2);
             transport.answerOldest(Outcome.NOT_SENT);
-            assertFailed(caller, ErrorKind.CONTRACT_EXPIRED_RUNNING, new JobCounts(0, 0, 0, 0, 0, 1));
+            assertFailed(caller, ErrorKind.CONTRACT_EXPIRED, new JobCounts(0, 0, 0, 0, 0, 1));
         }
 
         /** Guards against a job that hangs when its servers have gone, and against a false "not run". */
