Split peer messages so that jobs and responses of any allowed size can be forwarded

Cause: a frame had at most 16 MB, the largest job has 18 MB of payload and the default limit of a body is 32 MB, so such a job was taken by its owner only; through every other host it ended as OWNER_UNREACHABLE, 'may have run'. Responses of more than 16 MB failed in the same way.

Ruled out: a body limit below the frame limit. A higher frame limit alone would let probes wait for a whole job.

Change: a message is written in frames of at most 256 KiB, the next one when the last has left, and joined by the receiver; at most 448 MB, the largest response. Protocol version 2. One request of any size may wait for a peer.

--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
@@ -99,7 +99,7 @@
 
     private void reply(ChannelHandlerContext context, Frame request, Frame.Builder answer) {
         Frame frame = answer.setId(request.getId()).setReply(true).build();
-        if (frame.getSerializedSize() > limits.maxFrameBytes()) {
+        if (frame.getSerializedSize() > limits.maxMessageBytes()) {
             reply(context, request, failure("the reply has " + frame.getSerializedSize() + " bytes"));
             return;
         }
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FramePipeline.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FramePipeline.java
@@ -9,18 +9,22 @@
 import org.banyanspoke.peer.TransportLimits;
 import org.banyanspoke.peer.generated.Frame;
 
-/** Handlers of every connection: 4-byte length prefix, protobuf, then the connection itself. */
+/** Handlers of every connection: 4-byte length prefix, parts of messages, protobuf, then the connection itself. */
 public final class FramePipeline {
     private static final int PREFIX_BYTES = 4;
+    private static final int MAX_FRAME_BYTES =
+            PREFIX_BYTES + MessageSplitter.HEADER_BYTES + MessageSplitter.MAX_CONTENT_BYTES;
 
     private FramePipeline() {}
 
-    /** Adds the handlers. A frame above the limit makes the decoder throw, and the connection closes. */
+    /** Adds the handlers. A frame or message above its limit makes the decoder throw, and the connection closes. */
     public static void init(SocketChannel channel, TransportLimits limits, ChannelHandler connection) {
         channel.pipeline()
-                .addLast(new LengthFieldBasedFrameDecoder(limits.maxFrameBytes(), 0, PREFIX_BYTES, 0, PREFIX_BYTES))
+                .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, PREFIX_BYTES, 0, PREFIX_BYTES))
+                .addLast(new MessageJoiner(limits.maxMessageBytes()))
                 .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
                 .addLast(new LengthFieldPrepender(PREFIX_BYTES))
+                .addLast(new MessageSplitter())
                 .addLast(new ProtobufEncoder())
                 .addLast(connection);
     }
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/Hellos.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/Hellos.java
@@ -8,7 +8,7 @@
 
 /** Converts identities. */
 final class Hellos {
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
 
     private Hellos() {}
 
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
@@ -86,11 +86,11 @@
     /** Sends a request and reports its reply or failure to the emitter. */
     public void send(Frame frame, long timeoutMillis, SingleEmitter<PeerReply> emitter) {
         int bytes = frame.getSerializedSize();
-        if (bytes > limits.maxFrameBytes()) {
-            emitter.tryOnError(new PeerException(address + ": the frame has " + bytes + " bytes", false));
+        if (bytes > limits.maxMessageBytes()) {
+            emitter.tryOnError(new PeerException(address + ": the message has " + bytes + " bytes", false));
             return;
         }
-        if (queuedBytes + bytes > limits.maxQueuedBytes()) {
+        if (queuedBytes > 0 && queuedBytes + bytes > limits.maxQueuedBytes()) {
             emitter.tryOnError(new PeerException(address + ": " + queuedBytes + " bytes wait already", false));
             return;
         }
