Limit the request bodies that a host holds and the time of slow clients

Cause: each body had a limit, their sum had none, so a flood of large bodies could fill the memory; bodies of jobs that nobody waits for stayed until the job ended. A client that never completed a request head held its connection for ever.

Ruled out: one limit for all callers alike, since a flood of one team would close the port to the others. A caller may hold as much as is free, so one gets at most half. An idle timeout of the connection would also cut off callers that wait for a job.

Change: settings maxHeldBodyBytes (8 bodies), headTimeoutMillis (10 s) and idleTimeoutMillis (75 s) on both ports; a refusal OVERLOADED before the body is read; counters http.heldBodyBytes and http.refusedBodies. A submission under an id that may have been used gets OWNER_UNREACHABLE, because 'not run' could be wrong. Forwarded bodies count at the owner too and are parsed outside the control thread. OwnerForwardingTest covers owners on another host that answer, refuse, are drained or are gone.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -24,6 +24,7 @@
 import org.banyanspoke.daemon.backend.BackendClient;
 import org.banyanspoke.daemon.control.ControlService;
 import org.banyanspoke.daemon.control.ControlSettings;
+import org.banyanspoke.daemon.http.BodyBudget;
 import org.banyanspoke.daemon.http.ForwardedJobs;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
@@ -77,14 +78,25 @@
                 settings.peer().advertisedAddress().toString(),
                 new Incarnation(secureRandom.nextLong()));
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
+        BodyBudget bodies = new BodyBudget(settings.callers().maxHeldBodyBytes());
+        metrics.report("http.heldBodyBytes", bodies::heldBytes);
+        metrics.report("http.refusedBodies", bodies::refusals);
         this.control = createControl();
         this.gate = new HostGate(control::readiness);
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
         this.drain =
                 new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
         this.callers = HttpServices.callers(
-                trafficVertx, settings.callers(), callerLoops, control, dispatch, control::forward, this, metrics);
-        control.attach(new ForwardedJobs(dispatch));
+                trafficVertx,
+                settings.callers(),
+                callerLoops,
+                control,
+                dispatch,
+                control::forward,
+                this,
+                bodies,
+                metrics);
+        control.attach(new ForwardedJobs(dispatch, bodies));
         register(metrics);
     }
 
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/AdminRoutes.java
@@ -113,8 +113,10 @@
         routes.add(HttpMethod.GET, ROOT + path, this::authenticate, action);
     }
 
-    private void authenticate(RoutingContext context) throws RefusedException {
-        context.put(OPERATOR_KEY, authenticator.authenticate(context.request()));
+    private String authenticate(RoutingContext context) throws RefusedException {
+        String operator = authenticator.authenticate(context.request());
+        context.put(OPERATOR_KEY, operator);
+        return operator;
     }
 
     private Future<HttpAnswer> status() {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
@@ -20,7 +20,7 @@
     private static final String TEAM_KEY = "authenticatedTeam";
     private static final String JOBS = "/v1/teams/:team/jobs";
     private static final String JOB = JOBS + "/:jobId";
-    private static final RouteTable.Guard OPEN = context -> {};
+    private static final RouteTable.Guard OPEN = context -> "";
 
     private final TeamAuthenticator authenticator;
     private final LocalJobs jobs;
@@ -50,13 +50,15 @@
         routes.add(HttpMethod.GET, "/health/ready", OPEN, call -> health(ready.getAsBoolean()));
         routes.add(HttpMethod.POST, "/v1/teams/:team/job-ids", this::authenticate, this::reserve);
         routes.add(HttpMethod.POST, JOBS, this::authenticate, this::submitNew);
-        routes.add(HttpMethod.PUT, JOB, this::authenticate, this::submit);
+        routes.add(HttpMethod.PUT, JOB, this::authenticate, this::submit, this::submitUnread);
         routes.add(HttpMethod.GET, JOB, this::authenticate, this::status);
         routes.add(HttpMethod.DELETE, JOB, this::authenticate, this::cancel);
     }
 
-    private void authenticate(RoutingContext context) throws RefusedException {
-        context.put(TEAM_KEY, authenticator.authenticate(context.request(), context.pathParam("team")));
+    private String authenticate(RoutingContext context) throws RefusedException {
+        TeamId team = authenticator.authenticate(context.request(), context.pathParam("team"));
+        context.put(TEAM_KEY, team);
+        return team.value();
     }
 
     private static Future<HttpAnswer> health(boolean good) {
@@ -75,7 +77,9 @@
 
     private Future<HttpAnswer> submitNew(HttpCall call) throws DispatchException {
         JobBody body = JobBody.parse(call.body());
-        return jobs.submitNew(team(call), body, call.flag("wait", true)).map(JobAnswers::submitted);
+        boolean wait = call.flag("wait", true);
+        return jobs.submitNew(team(call), body.onEnd(call.held().retain()), wait)
+                .map(JobAnswers::submitted);
     }
 
     private Future<HttpAnswer> submit(HttpCall call) throws DispatchException {
@@ -83,10 +87,18 @@
         JobBody body = JobBody.parse(call.body());
         boolean wait = call.flag("wait", true);
         return owners.isOwn(jobId)
-                ? jobs.submit(team(call), jobId, body, wait).map(JobAnswers::submitted)
+                ? jobs.submit(team(call), jobId, body.onEnd(call.held().retain()), wait)
+                        .map(JobAnswers::submitted)
                 : owners.submit(team(call), jobId, call.body(), body.request().batch(), wait);
     }
 
+    private Future<HttpAnswer> submitUnread(HttpCall call, RefusedException noRoom) throws DispatchException {
+        JobId jobId = jobId(call);
+        return owners.isOwn(jobId)
+                ? UnreadBodies.refuseOwn(jobs, team(call), jobId, noRoom)
+                : Future.failedFuture(UnreadBodies.later(jobId, noRoom));
+    }
+
     private Future<HttpAnswer> status(HttpCall call) throws DispatchException {
         JobId jobId = jobId(call);
         long waitMillis = call.integer("waitMillis", 0, 0, MAX_WAIT_MILLIS);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpCall.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpCall.java
@@ -9,9 +9,10 @@
  * One request with its body.
  *
  * @param context the routed request
- * @param body the whole body; empty if the route has none
+ * @param body the whole body; empty if the route has none, or if there was no room for it
+ * @param held the room that the body takes until the response is written
  */
-record HttpCall(RoutingContext context, byte[] body) {
+record HttpCall(RoutingContext context, byte[] body, BodyBudget.Share held) {
     HttpServerRequest request() {
         return context.request();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -5,13 +5,16 @@
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.kernel.Service;
 
@@ -24,9 +27,13 @@
 
     private static final long POLL_MILLIS = 10;
 
+    /** A timeout takes effect at most this part of it late. */
+    private static final int SWEEPS_PER_TIMEOUT = 4;
+
     private final Vertx vertx;
     private final Options options;
     private final Consumer<RouteTable> routes;
+    private final BodyBudget bodyBudget;
     private final Consumer<ErrorKind> onError;
     private final AtomicInteger inProgress = new AtomicInteger();
     private volatile int port;
@@ -39,13 +46,38 @@
      * @param eventLoops event loops that parse requests and write responses
      * @param maxBodyBytes largest request body
      * @param bodyTimeoutMillis time for a request body, in milliseconds
+     * @param headTimeoutMillis time from the opening of a connection to the end of its first request head, in milliseconds
+     * @param idleTimeoutMillis time from a response to the end of the next request head, in milliseconds
      */
-    public record Options(HostAndPort address, int eventLoops, int maxBodyBytes, long bodyTimeoutMillis) {}
+    public record Options(
+            HostAndPort address,
+            int eventLoops,
+            int maxBodyBytes,
+            long bodyTimeoutMillis,
+            long headTimeoutMillis,
+            long idleTimeoutMillis) {
+        /** Returns the limits of the callers' port at another address. */
+        static Options of(HostAndPort address, int eventLoops, Settings.Callers limits) {
+            return new Options(
+                    address,
+                    eventLoops,
+                    limits.maxBodyBytes(),
+                    limits.bodyTimeoutMillis(),
+                    limits.headTimeoutMillis(),
+                    limits.idleTimeoutMillis());
+        }
+    }
 
-    HttpService(Vertx vertx, Options options, Consumer<RouteTable> routes, Consumer<ErrorKind> onError) {
+    HttpService(
+            Vertx vertx,
+            Options options,
+            Consumer<RouteTable> routes,
+            BodyBudget bodyBudget,
+            Consumer<ErrorKind> onError) {
         this.vertx = vertx;
         this.options = options;
         this.routes = routes;
+        this.bodyBudget = bodyBudget;
         this.onError = onError;
     }
 
@@ -83,14 +115,22 @@
             Router router = Router.router(vertx);
             AnswerWriter answers = new AnswerWriter(vertx, onError);
             BodyReader bodies = new BodyReader(vertx, options.maxBodyBytes(), options.bodyTimeoutMillis());
-            routes.accept(new RouteTable(router, bodies, answers, inProgress));
+            IdleConnections connections =
+                    new IdleConnections(System::nanoTime, options.headTimeoutMillis(), options.idleTimeoutMillis());
+            router.route().handler(context -> watch(connections, context));
+            routes.accept(new RouteTable(router, bodies, bodyBudget, answers, inProgress));
             HttpServerOptions serverOptions = new HttpServerOptions()
                     .setHost(options.address().getHost())
                     .setPort(options.address().getPort())
                     .setHttp2ClearTextEnabled(false)
                     .setHandle100ContinueAutomatically(true)
                     .setTcpNoDelay(true);
-            HttpServer server = vertx.createHttpServer(serverOptions).requestHandler(router);
+            long sweepMillis = Math.max(
+                    1, Math.min(options.headTimeoutMillis(), options.idleTimeoutMillis()) / SWEEPS_PER_TIMEOUT);
+            vertx.setPeriodic(sweepMillis, unused -> connections.closeOverdue());
+            HttpServer server = vertx.createHttpServer(serverOptions)
+                    .connectionHandler(connections::onOpened)
+                    .requestHandler(router);
             server.listen()
                     .<Void>map(listening -> {
                         port = listening.actualPort();
@@ -98,5 +138,12 @@
                     })
                     .onComplete(started);
         }
+
+        private static void watch(IdleConnections connections, RoutingContext context) {
+            HttpConnection connection = context.request().connection();
+            connections.onRequest(connection);
+            context.addEndHandler(unused -> connections.onResponse(connection));
+            context.next();
+        }
     }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
@@ -25,6 +25,7 @@
      * @param eventLoops event loops that parse requests
      * @param jobs jobs of this process
      * @param forwarder reaches the jobs of others
+     * @param bodies room for request bodies
      */
     public static HttpService callers(
             Vertx vertx,
@@ -34,18 +35,21 @@
             LocalJobs jobs,
             JobForwarder forwarder,
             HostStatus host,
+            BodyBudget bodies,
             DaemonMetrics metrics) {
-        HttpService.Options options = new HttpService.Options(
-                settings.address(), eventLoops, settings.maxBodyBytes(), settings.bodyTimeoutMillis());
+        HttpService.Options options = HttpService.Options.of(settings.address(), eventLoops, settings);
         CallerRoutes routes = new CallerRoutes(
                 new TeamAuthenticator(control::config),
                 jobs,
                 new OwnerForwarding(host.incarnation(), forwarder, control::config),
                 host::ready);
-        return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
+        return new HttpService(vertx, options, routes::addTo, bodies, metrics::errorAnswered);
     }
 
-    /** Returns the service of the operators' port. Its body limits are those of the callers' port. */
+    /**
+     * Returns the service of the operators' port. Its limits are those of the callers' port, with room of its own
+     * for bodies, so that a flood of jobs does not keep operators out.
+     */
     public static HttpService admin(
             Vertx vertx,
             Settings settings,
@@ -53,14 +57,12 @@
             ControlPlane control,
             DispatchService dispatch,
             DaemonMetrics metrics) {
-        HttpService.Options options = new HttpService.Options(
-                settings.admin().address(),
-                1,
-                settings.callers().maxBodyBytes(),
-                settings.callers().bodyTimeoutMillis());
+        Settings.Callers limits = settings.callers();
+        HttpService.Options options = HttpService.Options.of(settings.admin().address(), 1, limits);
+        BodyBudget bodies = new BodyBudget(limits.maxHeldBodyBytes());
         OperatorAuthenticator authenticator =
                 new OperatorAuthenticator(settings.admin().operatorTokensSha256());
         AdminRoutes routes = new AdminRoutes(authenticator, host, control, dispatch, metrics);
-        return new HttpService(vertx, options, routes::addTo, metrics::errorAnswered);
+        return new HttpService(vertx, options, routes::addTo, bodies, metrics::errorAnswered);
     }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
+import org.banyanspoke.api.errors.RefusedException;
 
 /** Adds routes to one router so that every failure ends in a response. */
 final class RouteTable {
@@ -18,14 +19,22 @@
 
     private final Router router;
     private final BodyReader bodies;
+    private final BodyBudget budget;
     private final AnswerWriter answers;
     private final AtomicInteger inProgress;
 
     /** Checks the caller before the body is read. */
     @FunctionalInterface
     interface Guard {
-        /** Lets the request pass, or throws. */
-        void check(RoutingContext context) throws DispatchException;
+        /** Lets the request pass and returns the name of the caller, or throws. */
+        String check(RoutingContext context) throws DispatchException;
+    }
+
+    /** Answers a request whose body was not read. */
+    @FunctionalInterface
+    interface NoRoom {
+        /** Returns the response, or fails. */
+        Future<HttpAnswer> answer(HttpCall call, RefusedException refusal) throws DispatchException;
     }
 
     /** Handles a request. */
@@ -36,11 +45,13 @@
     }
 
     /**
+     * @param budget room for the bodies
      * @param inProgress counts requests that have no complete response yet
      */
-    RouteTable(Router router, BodyReader bodies, AnswerWriter answers, AtomicInteger inProgress) {
+    RouteTable(Router router, BodyReader bodies, BodyBudget budget, AnswerWriter answers, AtomicInteger inProgress) {
         this.router = router;
         this.bodies = bodies;
+        this.budget = budget;
         this.answers = answers;
         this.inProgress = inProgress;
         router.errorHandler(NOT_FOUND, context -> fail(context, ErrorKind.UNKNOWN_ROUTE, "no such route"));
@@ -57,18 +68,26 @@
 
     /** Adds a route. The body is read only for POST and PUT. */
     void add(HttpMethod method, String path, Guard guard, Action action) {
+        add(method, path, guard, action, (call, refusal) -> Future.failedFuture(refusal));
+    }
+
+    /** As above, with another answer than the refusal if there is no room for the body. */
+    void add(HttpMethod method, String path, Guard guard, Action action, NoRoom noRoom) {
         boolean hasBody = method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT);
-        router.route(method, path).handler(context -> handle(context, guard, action, hasBody));
+        router.route(method, path).handler(context -> handle(context, guard, action, noRoom, hasBody));
     }
 
-    private void handle(RoutingContext context, Guard guard, Action action, boolean hasBody) {
+    private void handle(RoutingContext context, Guard guard, Action action, NoRoom noRoom, boolean hasBody) {
         HttpServerRequest request = context.request();
         inProgress.incrementAndGet();
         context.addEndHandler(unused -> inProgress.decrementAndGet());
         try {
-            guard.check(context);
-            Future<byte[]> body = hasBody ? bodies.read(request) : Future.succeededFuture(NO_BODY);
-            body.compose(bytes -> run(action, new HttpCall(context, bytes)))
+            BodyBudget.Share held = budget.open(guard.check(context));
+            context.addEndHandler(unused -> held.release());
+            Future<byte[]> body = hasBody ? bodies.read(request, held) : Future.succeededFuture(NO_BODY);
+            body.transform(read -> read.succeeded()
+                            ? run(action, new HttpCall(context, read.result(), held))
+                            : unread(noRoom, new HttpCall(context, NO_BODY, held), read.cause()))
                     .map(answer -> write(request, answer))
                     .onFailure(e -> answers.writeError(request, e));
         } catch (DispatchException | RuntimeException e) {
@@ -90,6 +109,17 @@
         }
     }
 
+    private static Future<HttpAnswer> unread(NoRoom noRoom, HttpCall call, Throwable cause) {
+        if (!(cause instanceof RefusedException refusal)) {
+            return Future.failedFuture(cause);
+        }
+        try {
+            return noRoom.answer(call, refusal);
+        } catch (DispatchException e) {
+            return Future.failedFuture(e);
+        }
+    }
+
     private void fail(RoutingContext context, ErrorKind kind, String message) {
         answers.writeError(context.request(), new DispatchException(kind, message));
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/DispatchService.java
@@ -121,16 +121,16 @@
 
     @Override
     public Future<JobAnswer> submit(TeamId team, JobId jobId, JobBody body, boolean wait) {
-        return thread.callAsync(promise -> submit(team, jobId, body, wait, promise));
+        return thread.callAsync(promise -> submitOrEnd(body, () -> submit(team, jobId, body, wait, promise)));
     }
 
     @Override
     public Future<JobAnswer> submitNew(TeamId team, JobBody body, boolean wait) {
-        return thread.callAsync(promise -> {
+        return thread.callAsync(promise -> submitOrEnd(body, () -> {
             gate.check();
             JobId jobId = dispatcher.reserve(team, 1).get(0);
             submit(team, jobId, body, wait, promise);
-        });
+        }));
     }
 
     @Override
@@ -150,11 +150,28 @@
         return thread.call(() -> dispatcher.cancel(team, jobId));
     }
 
+    /** A submission that the dispatcher may refuse. */
+    @FunctionalInterface
+    private interface SubmissionStep {
+        void run() throws DispatchException;
+    }
+
+    /** A refused body is no longer held; an accepted one is held until its job ends. */
+    private static void submitOrEnd(JobBody body, SubmissionStep step) throws DispatchException {
+        try {
+            step.run();
+        } catch (DispatchException | RuntimeException e) {
+            body.onEnd().run();
+            throw e;
+        }
+    }
+
     private void submit(TeamId team, JobId jobId, JobBody body, boolean wait, Promise<JobAnswer> promise)
             throws DispatchException {
         checkGateUnlessKnown(team, jobId);
         Submission submission = new Submission(team, jobId, body.request(), body.digest());
         dispatcher.submit(submission, answer -> {
+            body.onEnd().run();
             promise.tryComplete(answer);
             waiters.removeAll(jobId).forEach(waiter -> waiter.accept(answer));
         });
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/JobBody.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/jobs/JobBody.java
@@ -15,8 +15,11 @@
  *
  * @param request the job
  * @param digest SHA-256 of the bytes as received; decides whether a resubmission is the same
+ * @param onEnd run once the job has ended or the submission is refused, when the request is no longer held
  */
-public record JobBody(JobRequest request, HashCode digest) {
+public record JobBody(JobRequest request, HashCode digest, Runnable onEnd) {
+    private static final Runnable NOTHING = () -> {};
+
     /**
      * Parses and checks a body.
      *
@@ -26,7 +29,12 @@
     public static JobBody parse(byte[] body) throws DispatchException {
         JobRequest request = parse(body, JobRequest.class);
         request.validate();
-        return new JobBody(request, Hashing.sha256().hashBytes(body));
+        return new JobBody(request, Hashing.sha256().hashBytes(body), NOTHING);
+    }
+
+    /** Returns the same body with another action at the end. */
+    public JobBody onEnd(Runnable action) {
+        return new JobBody(request, digest, action);
     }
 
     /**
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.daemon.metrics;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
@@ -8,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.ids.JobId;
@@ -86,6 +88,12 @@
         }
     }
 
+    /** Reports a value with the counters. Called once for each name. */
+    public void report(String name, LongSupplier value) {
+        Gauge<Long> gauge = value::getAsLong;
+        registry.register(name, gauge);
+    }
+
     /** Counts an error response. Thread safe. */
     public void errorAnswered(ErrorKind kind) {
         registry.counter("http.errors." + kind).inc();
@@ -95,6 +103,7 @@
     public Report report() {
         Map<String, Long> counters = new TreeMap<>();
         registry.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
+        registry.getGauges().forEach((name, gauge) -> counters.put(name, (Long) gauge.getValue()));
         Map<String, Quantiles> histograms = new TreeMap<>();
         registry.getHistograms().forEach((name, histogram) -> histograms.put(name, Quantiles.of(histogram)));
         return new Report("ms", WindowReservoir.WINDOW_NANOS / 1_000_000_000L, counters, histograms);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/Settings.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/Settings.java
@@ -40,8 +40,17 @@
      * @param address where it listens; port 0 takes a free port
      * @param maxBodyBytes largest request body
      * @param bodyTimeoutMillis time from the request head to the end of the body, in milliseconds
+     * @param maxHeldBodyBytes bytes of all request bodies held at once
+     * @param headTimeoutMillis time from the opening of a connection to the end of its first request head, in milliseconds
+     * @param idleTimeoutMillis time from a response to the end of the next request head, in milliseconds
      */
-    public record Callers(HostAndPort address, int maxBodyBytes, long bodyTimeoutMillis) {}
+    public record Callers(
+            HostAndPort address,
+            int maxBodyBytes,
+            long bodyTimeoutMillis,
+            long maxHeldBodyBytes,
+            long headTimeoutMillis,
+            long idleTimeoutMillis) {}
 
     /**
      * The operators' port.
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsReader.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsReader.java
@@ -26,6 +26,16 @@
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
     private static final long DEFAULT_BODY_TIMEOUT_MILLIS = 10_000;
     private static final long MAX_BODY_TIMEOUT_MILLIS = 600_000;
+    /** One caller may hold half of the room, so less than two bodies would close the port to the largest one. */
+    private static final int MIN_HELD_BODIES = 2;
+
+    private static final int DEFAULT_HELD_BODIES = 8;
+    private static final long MAX_HELD_BYTES = 64L * 1024 * 1024 * 1024;
+    private static final long DEFAULT_HEAD_TIMEOUT_MILLIS = 10_000;
+    /** Longer than the 60 s after which balancers usually close idle connections, so that they close first. */
+    private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 75_000;
+
+    private static final long MAX_IDLE_TIMEOUT_MILLIS = 3_600_000;
     /** Design 2.6: time in which the load balancer notices the readiness change. */
     private static final long DEFAULT_NOTICE_MILLIS = 2_000;
 
@@ -101,8 +111,12 @@
         long maxBodyBytes = section.integer("maxBodyBytes", DEFAULT_MAX_BODY_BYTES, MIN_BODY_BYTES, MAX_BODY_BYTES);
         long timeoutMillis =
                 section.integer("bodyTimeoutMillis", DEFAULT_BODY_TIMEOUT_MILLIS, 1, MAX_BODY_TIMEOUT_MILLIS);
+        long heldBytes = section.integer(
+                "maxHeldBodyBytes", DEFAULT_HELD_BODIES * maxBodyBytes, MIN_HELD_BODIES * maxBodyBytes, MAX_HELD_BYTES);
+        long headMillis = section.integer("headTimeoutMillis", DEFAULT_HEAD_TIMEOUT_MILLIS, 1, MAX_BODY_TIMEOUT_MILLIS);
+        long idleMillis = section.integer("idleTimeoutMillis", DEFAULT_IDLE_TIMEOUT_MILLIS, 1, MAX_IDLE_TIMEOUT_MILLIS);
         section.rejectUnknown();
-        return new Settings.Callers(address, (int) maxBodyBytes, timeoutMillis);
+        return new Settings.Callers(address, (int) maxBodyBytes, timeoutMillis, heldBytes, headMillis, idleMillis);
     }
 
     private static Settings.Admin readAdmin(SettingsSection section) {
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -38,6 +38,10 @@
 import org.banyanspoke.core.quota.QuotaLendings;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.backend.BackendClient;
+import org.banyanspoke.daemon.control.JobForwarder;
+import org.banyanspoke.daemon.control.LocalDispatch;
+import org.banyanspoke.daemon.http.BodyBudget;
+import org.banyanspoke.daemon.http.ForwardedJobs;
 import org.banyanspoke.daemon.http.HostStatus;
 import org.banyanspoke.daemon.http.HttpService;
 import org.banyanspoke.daemon.http.HttpServices;
@@ -52,6 +56,9 @@
 public final class TestHost implements HostStatus, AutoCloseable {
     public static final int MAX_BODY_BYTES = 100_000;
     public static final long BODY_TIMEOUT_MILLIS = 300;
+    public static final long MAX_HELD_BODY_BYTES = 4 * MAX_BODY_BYTES;
+    public static final long HEAD_TIMEOUT_MILLIS = 1_000;
+    public static final long IDLE_TIMEOUT_MILLIS = 3_000;
 
     private static final HostId HOST = new HostId("h1");
     private static final ZoneId ZONE = new ZoneId("z1");
@@ -61,7 +68,7 @@
     private final MonotonicClock clock = System::nanoTime;
     private final Vertx vertx = Vertx.vertx();
     private final Vertx dispatchVertx = Vertx.vertx();
-    private final Incarnation incarnation = new Incarnation(7);
+    private final Incarnation incarnation;
     private final Kernel kernel = new Kernel();
     private final HttpService callers;
     private final HttpService admin;
@@ -72,23 +79,32 @@
     /** Set by the operators' drain route. */
     public volatile boolean drainRequested;
 
+    /** The peer side of this host. */
+    public final LocalDispatch forwarded;
+
+    /** A host that reaches no other one. */
     public TestHost(String backendAddress) throws Exception {
+        this(
+                backendAddress,
+                7,
+                (request, timeoutMillis) ->
+                        Single.error(new DispatchException(ErrorKind.OWNER_UNREACHABLE, "no other host in this test")));
+    }
+
+    public TestHost(String backendAddress, long incarnation, JobForwarder forwarder) throws Exception {
+        this.incarnation = new Incarnation(incarnation);
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
+        BodyBudget bodies = new BodyBudget(MAX_HELD_BODY_BYTES);
+        metrics.report("http.heldBodyBytes", bodies::heldBytes);
+        metrics.report("http.refusedBodies", bodies::refusals);
         StubControl control = new StubControl(config(backendAddress));
         DispatchThread thread = new DispatchThread(dispatchVertx.getOrCreateContext());
         BackendClient backend = new BackendClient(dispatchVertx, thread.context(), clock);
         dispatch = new DispatchService(
                 dispatchVertx, thread, backend, this::createDispatcher, new HostGate(control::readiness), metrics);
+        forwarded = new ForwardedJobs(dispatch, bodies);
         callers = HttpServices.callers(
-                vertx,
-                settings().callers(),
-                1,
-                control,
-                dispatch,
-                (request, timeoutMillis) ->
-                        Single.error(new DispatchException(ErrorKind.OWNER_UNREACHABLE, "no other host in this test")),
-                this,
-                metrics);
+                vertx, settings().callers(), 1, control, dispatch, forwarder, this, bodies, metrics);
         admin = HttpServices.admin(vertx, settings(), this, control, dispatch, metrics);
         kernel.register(DispatchService.NAME, dispatch);
         kernel.register(ConfigLink.NAME, new ConfigLink(control, dispatch));
@@ -160,7 +176,13 @@
     private static Settings settings() {
         return new Settings(
                 new Settings.Host(HOST, ZONE, "r1"),
-                new Settings.Callers(ANY_PORT, MAX_BODY_BYTES, BODY_TIMEOUT_MILLIS),
+                new Settings.Callers(
+                        ANY_PORT,
+                        MAX_BODY_BYTES,
+                        BODY_TIMEOUT_MILLIS,
+                        MAX_HELD_BODY_BYTES,
+                        HEAD_TIMEOUT_MILLIS,
+                        IDLE_TIMEOUT_MILLIS),
                 new Settings.Admin(ANY_PORT, Map.of("alice", sha256("operator-token"))),
                 new Settings.Peer(PEER_ADDRESS, PEER_ADDRESS, List.of()),
                 ANY_PORT,
