--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/StoppableForwarder.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/StoppableForwarder.java
@@ -3,8 +3,8 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
-import org.banyanspoke.api.errors.RefusedException;
 import org.banyanspoke.daemon.control.ForwardReply;
 import org.banyanspoke.daemon.control.ForwardRequest;
 import org.banyanspoke.daemon.control.JobForwarder;
@@ -14,8 +14,6 @@
  * host takes on waiting requests for jobs of other hosts until it exits, and cuts them off. Thread safe.
  */
 final class StoppableForwarder implements JobForwarder {
-    private static final long RETRY_MILLIS = 1_000;
-
     private final JobForwarder forwarder;
     private final Promise<Void> ended = Promise.promise();
     private int inProgress;
@@ -45,9 +43,11 @@
         });
     }
 
-    private synchronized void begin() throws RefusedException {
+    /** Does not state "not run", because an earlier request for the job may have reached its owner. */
+    private synchronized void begin() throws DispatchException {
         if (stopping) {
-            throw new RefusedException(ErrorKind.DRAINING, "this host is stopping; use another one", RETRY_MILLIS);
+            throw new DispatchException(
+                    ErrorKind.OWNER_UNREACHABLE, "this host is stopping and asks no owner any more; use another host");
         }
         inProgress++;
     }
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/StoppableForwarderTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/StoppableForwarderTest.java
@@ -5,8 +5,9 @@
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import io.vertx.core.Future;
+import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
-import org.banyanspoke.api.errors.RefusedException;
+import org.banyanspoke.api.errors.Execution;
 import org.banyanspoke.daemon.control.ForwardReply;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -30,14 +31,19 @@
             assertThat(stopped.succeeded()).isTrue();
         }
 
-        /** Guards against a stop that never ends because callers go on sending requests for jobs of other hosts. */
+        /**
+         * Guards against a stop that never ends because callers go on sending requests for jobs of other hosts, and against
+         * "not run" for a job that its owner may run.
+         */
         @Test
         void refusesFurtherRequests() {
             assertThat(forwarder.stop().succeeded()).isTrue();
             forwarder
                     .forward(null, 1)
                     .test()
-                    .assertError(e -> e instanceof RefusedException refused && refused.kind() == ErrorKind.DRAINING);
+                    .assertError(e -> e instanceof DispatchException refused
+                            && refused.kind() == ErrorKind.OWNER_UNREACHABLE
+                            && refused.kind().execution() == Execution.MAY_HAVE_RUN);
         }
 
         /** Guards against a request that counts for ever because its owner failed. */
