--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -19,11 +18,6 @@
 
 /** The bench on the command line. The last line of its output is one JSON object. */
 public final class Main {
-    /** Covers the compilation of the hot paths of a new JVM and the first learning of server speeds. */
-    private static final double WARMUP_SECONDS = 5;
-    /** In trials the compiler threads used more than half of a host's processor time in the first 10 s. */
-    private static final double THROUGHPUT_WARMUP_SECONDS = 10;
-
     private Main() {}
 
     /** Runs the scenario named by the arguments; see {@code --help}. Exits with 1 if the run fails. */
@@ -73,24 +67,14 @@
     }
 
     private static BenchOptions options(Namespace arguments) {
-        Shape shape = Shape.valueOf(arguments.getString("shape").toUpperCase(Locale.ROOT));
-        Map<String, Scenario> scenarios = Scenarios.all(shape);
-        Scenario scenario = scenarios.get(arguments.getString("scenario"));
-        if (scenario == null) {
-            throw new IllegalArgumentException("no scenario \"" + arguments.getString("scenario") + "\", there are "
-                    + String.join(", ", scenarios.keySet()));
-        }
-        Double seconds = arguments.getDouble("seconds");
-        Double warmupSeconds = arguments.getDouble("warmup");
-        double defaultWarmupSeconds = scenario.instant() ? THROUGHPUT_WARMUP_SECONDS : WARMUP_SECONDS;
-        return new BenchOptions(
+        return BenchOptions.of(
                 Path.of(System.getProperty("banyanspoke.home", ".")),
-                scenario,
-                shape,
+                arguments.getString("scenario"),
+                Shape.valueOf(arguments.getString("shape").toUpperCase(Locale.ROOT)),
                 arguments.getString("policy"),
                 arguments.getLong("seed"),
-                seconds == null ? scenario.seconds() : seconds,
-                warmupSeconds == null ? defaultWarmupSeconds : warmupSeconds,
+                arguments.getDouble("seconds"),
+                arguments.getDouble("warmup"),
                 arguments.getDouble("scale"),
                 arguments.getBoolean("keep"));
     }
