Add bin/capacity, which fits the cost of an entry host over the size

Cause: slopes over servers, teams, batches, rate and hosts and the recovery of a zone were not measured; the bench knew only the two sites. The log stand-in counts the bytes that it sends to readers. The cluster of the bench takes its options and ticket from outside. Ruled out: starts from the log while peers run, since a host takes the configuration from the first peer that answers.

--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/capacity/CapacityMain.java
@@ -0,0 +1,112 @@
+package org.banyanspoke.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.banyanspoke.api.json.Json;
+import org.banyanspoke.bench.internal.CapacityRun;
+import org.banyanspoke.bench.internal.RecoveryRun;
+
+/** A capacity measurement on the command line; docs/bench.md describes the options. */
+public final class CapacityMain {
+    private static final int MIN_POINTS = 3;
+    /** 3 stand-ins a point; stays far below 200 processes with 4 points at once. */
+    private static final int MAX_HOSTS = 32;
+
+    private CapacityMain() {}
+
+    /** Measures the points and prints the table. Exits with 1 if a point fails and with 2 if the command line is wrong. */
+    public static void main(String[] args) throws InterruptedException {
+        ArgumentParser parser = parser();
+        try {
+            run(parser.parseArgs(args));
+            System.exit(0);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(2);
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("measurement failed: " + e);
+            System.exit(1);
+        }
+    }
+
+    private static void run(Namespace arguments) throws IOException, InterruptedException {
+        Dimension over = Dimension.valueOf(arguments.getString("over").toUpperCase(Locale.ROOT));
+        List<Integer> values = arguments.getList("points");
+        CapacityOptions options = new CapacityOptions(
+                Path.of(System.getProperty("banyanspoke.home", ".")),
+                arguments.getLong("seed"),
+                arguments.getDouble("seconds"),
+                arguments.getDouble("warmup"),
+                arguments.getInt("heap"));
+        List<CapacityPoint> points =
+                measure(over, values == null ? over.defaultPoints() : values, options, arguments.getInt("parallel"));
+        System.out.print(new CapacityTable(points).text());
+        if (arguments.getString("json") != null) {
+            StringBuilder lines = new StringBuilder();
+            for (CapacityPoint point : points) {
+                lines.append(Json.mapper().writeValueAsString(point)).append('\n');
+            }
+            Files.writeString(Path.of(arguments.getString("json")), lines);
+        }
+    }
+
+    private static List<CapacityPoint> measure(
+            Dimension over, List<Integer> values, CapacityOptions options, int parallel)
+            throws IOException, InterruptedException {
+        if (values.size() < MIN_POINTS) {
+            throw new IllegalArgumentException("a fit needs at least " + MIN_POINTS + " points");
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(parallel);
+        try {
+            List<Callable<CapacityPoint>> runs = new ArrayList<>();
+            values.forEach(value -> runs.add(run(over, value, options)));
+            List<CapacityPoint> points = new ArrayList<>();
+            for (Future<CapacityPoint> point : pool.invokeAll(runs)) {
+                points.add(point.get());
+            }
+            return points;
+        } catch (ExecutionException e) {
+            throw new IOException("a point failed: " + e.getCause().getMessage(), e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private static Callable<CapacityPoint> run(Dimension over, int value, CapacityOptions options) {
+        CapacitySize size = over.at(value);
+        if (size.hosts() > MAX_HOSTS) {
+            throw new IllegalArgumentException("at most " + MAX_HOSTS + " hosts on one machine");
+        }
+        return over == Dimension.RECOVERY
+                ? new RecoveryRun(value, size, options)
+                : new CapacityRun(over, value, size, options);
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser = ArgumentParsers.newFor("capacity")
+                .build()
+                .description("Measures what an entry host costs at several sizes and fits a line; see docs/bench.md.");
+        parser.addArgument("--over").required(true).choices("servers", "teams", "batches", "rate", "hosts", "recovery");
+        parser.addArgument("--points").nargs("+").type(Integer.class).help("values; default depends on --over");
+        parser.addArgument("--seconds").type(Double.class).setDefault(10.0).help("measured time of each point");
+        parser.addArgument("--warmup").type(Double.class).setDefault(10.0).help("time with load before it, in seconds");
+        parser.addArgument("--heap").type(Integer.class).setDefault(128).help("heap of an entry host in MB");
+        parser.addArgument("--parallel").type(Integer.class).setDefault(1).help("points measured at the same time");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L);
+        parser.addArgument("--json").help("file for one JSON line for each point");
+        return parser;
+    }
+}
--- /dev/null
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/capacity/Dimension.java
@@ -0,0 +1,53 @@
+package org.banyanspoke.bench.capacity;
+
+import java.util.List;
+
+/** What varies between the points of a measurement, with its default points and its value at the design size. */
+public enum Dimension {
+    /** Backend servers in the configuration. */
+    SERVERS(760, List.of(95, 190, 380, 760)),
+    /** Teams, all of which submit work. */
+    TEAMS(140, List.of(14, 35, 70, 140)),
+    /** Batches in the configuration. */
+    BATCHES(500, List.of(140, 250, 375, 500)),
+    /** Task starts a second by each entry host. */
+    RATE(256, List.of(32, 64, 128, 256)),
+    /** Entry hosts in all zones. */
+    HOSTS(180, List.of(2, 4, 8, 16)),
+    /** Entry hosts of one zone that start at once. */
+    RECOVERY(30, List.of(2, 4, 8, 16));
+
+    /** 16 hosts would need 4,096 tasks a second at 256 each, of the order of what a generator on the same machine sends. */
+    private static final int STARTS_PER_SECOND_OF_MANY_HOSTS = 64;
+
+    private final int designValue;
+    private final List<Integer> defaultPoints;
+
+    Dimension(int designValue, List<Integer> defaultPoints) {
+        this.designValue = designValue;
+        this.defaultPoints = defaultPoints;
+    }
+
+    /** Returns the value at the design size. */
+    public int designValue() {
+        return designValue;
+    }
+
+    /** Returns the points that are measured unless the command line names others. */
+    public List<Integer> defaultPoints() {
+        return defaultPoints;
+    }
+
+    /** Returns the design size with another value of this dimension. */
+    public CapacitySize at(int value) {
+        CapacitySize d = CapacitySize.DESIGN;
+        return switch (this) {
+            case SERVERS -> new CapacitySize(value, d.teams(), d.batches(), d.startsPerSecond(), d.hosts());
+            case TEAMS -> new CapacitySize(d.servers(), value, d.batches(), d.startsPerSecond(), d.hosts());
+            case BATCHES -> new CapacitySize(d.servers(), d.teams(), value, d.startsPerSecond(), d.hosts());
+            case RATE -> new CapacitySize(d.servers(), d.teams(), d.batches(), value, d.hosts());
+            case HOSTS, RECOVERY ->
+                new CapacitySize(d.servers(), d.teams(), d.batches(), STARTS_PER_SECOND_OF_MANY_HOSTS, value);
+        };
+    }
+}
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Cluster.java
@@ -10,24 +10,19 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
+import org.banyanspoke.api.config.Ticket;
 import org.banyanspoke.api.json.Json;
-import org.banyanspoke.bench.Scenario;
 
 /** The processes of a run: stand-ins and entry hosts. Closing it ends them all. */
 public final class Cluster implements AutoCloseable {
     private static final long START_LIMIT_MILLIS = 30_000;
-    private static final long POLL_MILLIS = 50;
+    private static final long POLL_MILLIS = 20;
     private static final String STANDIN_OPTIONS = "-Xmx512m -XX:ActiveProcessorCount=3";
     private static final String PLATFORM_OPTIONS = "-Xmx64m -XX:ActiveProcessorCount=1";
-    /** An entry host gets 2 processors, the size in the throughput target. */
-    private static final String HOST_OPTIONS = "-Xmx256m -XX:ActiveProcessorCount=2";
 
-    private final Path home;
-    private final Path directory;
-    private final Scenario scenario;
+    private final ClusterOptions options;
     private final Topology topology;
-    private final long seed;
-    private final String policy;
+    private final Ticket ticket;
     private final HttpJson http = new HttpJson();
     private final List<ManagedProcess> standins = new ArrayList<>();
     private final List<ManagedProcess> hosts = new CopyOnWriteArrayList<>();
@@ -35,20 +30,14 @@
     private Duration endedCpuTime = Duration.ZERO;
 
     /**
-     * @param home directory that holds {@code bin}
-     * @param directory for settings, ledger and output
-     * @param scenario the scenario
-     * @param topology its hosts and servers
-     * @param seed of the backend servers
-     * @param policy policy of the daemons
+     * @param options how to start the processes
+     * @param topology hosts and servers
+     * @param ticket the first configuration
      */
-    public Cluster(Path home, Path directory, Scenario scenario, Topology topology, long seed, String policy) {
-        this.home = home;
-        this.directory = directory;
-        this.scenario = scenario;
+    public Cluster(ClusterOptions options, Topology topology, Ticket ticket) {
+        this.options = options;
         this.topology = topology;
-        this.seed = seed;
-        this.policy = policy;
+        this.ticket = ticket;
     }
 
     /**
@@ -57,21 +46,92 @@
      * @throws IOException if a process does not start or the ticket is not accepted
      */
     public void start() throws IOException, InterruptedException {
+        startPlatform();
+        launchHosts();
+        for (int host = 0; host < topology.hosts(); host++) {
+            awaitHttp(topology.callersPort(host), "/health/live");
+        }
+        send(ticket);
+        for (int host = 0; host < topology.hosts(); host++) {
+            awaitHttp(topology.callersPort(host), "/health/ready");
+        }
+    }
+
+    /**
+     * Starts the stand-ins and waits until they listen.
+     *
+     * @throws IOException if one does not start
+     */
+    void startPlatform() throws IOException, InterruptedException {
         startStandins();
         awaitHttp(topology.logControlPort(), "/options");
         awaitHttp(topology.hostListControlPort(), "/options");
         awaitHttp(topology.fleetControlPort(), "/options");
         publishHosts();
+    }
+
+    /** Starts all hosts and does not wait for them. */
+    void launchHosts() throws IOException {
         for (int host = 0; host < topology.hosts(); host++) {
             hosts.add(startHost(host));
         }
-        for (int host = 0; host < topology.hosts(); host++) {
-            awaitHttp(topology.callersPort(host), "/health/live");
-        }
-        http.post(topology.adminPort(0), "/v1/admin/tickets", Setup.ticket(scenario, topology));
-        for (int host = 0; host < topology.hosts(); host++) {
-            awaitHttp(topology.callersPort(host), "/health/ready");
+    }
+
+    /**
+     * Sends a change ticket to the first host.
+     *
+     * @throws IOException if it is not accepted
+     */
+    void send(Ticket change) throws IOException, InterruptedException {
+        http.post(topology.adminPort(0), "/v1/admin/tickets", change);
+    }
+
+    /** Appends a record to the log, as another user of the platform does. */
+    void appendToLog(Object body) throws IOException, InterruptedException {
+        http.post(topology.logPort(), "/records", body);
+    }
+
+    /**
+     * Waits until a host is ready.
+     *
+     * @throws IOException if it is not ready in time
+     */
+    void awaitReady(int host) throws IOException, InterruptedException {
+        awaitHttp(topology.callersPort(host), "/health/ready");
+    }
+
+    /** Kills a host and starts a new process in its place. Does not wait for it. */
+    void replaceHost(int host) throws IOException, InterruptedException {
+        killHost(host);
+        if (!hosts.get(host).awaitEnd(START_LIMIT_MILLIS)) {
+            throw new IOException("host " + Topology.hostId(host) + " has not ended after SIGKILL");
         }
+        hosts.set(host, startHost(host));
+    }
+
+    /** Returns the status of a host. */
+    JsonNode status(int host) throws IOException, InterruptedException {
+        return http.get(topology.adminPort(host), "/v1/admin/status");
+    }
+
+    /** Returns the process id of a host. */
+    long pid(int host) {
+        return hosts.get(host).pid();
+    }
+
+    /** Returns the file with the output of a host. */
+    Path output(int host) {
+        return options.directory().resolve(Topology.hostId(host) + ".out");
+    }
+
+    /** Returns the counts of the log. */
+    JsonNode logCounts() throws IOException, InterruptedException {
+        return http.get(topology.logControlPort(), "/counts");
+    }
+
+    /** Returns all counts at this moment. */
+    Measurement.Counts counts() throws IOException, InterruptedException {
+        return new Measurement.Counts(System.nanoTime(), hostCpuTime(), hostMetrics(), ledger(), platformRequests());
     }
 
     private void startStandins() throws IOException {
@@ -82,8 +142,8 @@
                 "--speeds", topology.speeds().stream().map(String::valueOf).collect(Collectors.joining(",")),
                 "--threads", "3",
                 "--ledger", ledgerFile().toString(),
-                "--seed", String.valueOf(seed)));
-        if (scenario.instant()) {
+                "--seed", String.valueOf(options.seed())));
+        if (options.instantServers()) {
             fleet.add("--instant");
         }
         standin(
@@ -97,14 +157,15 @@
     private void standin(String javaOptions, String kind, int port, int controlPort, String... more)
             throws IOException {
         List<String> command = new ArrayList<>(List.of(
-                home.resolve("bin/banyanspoke-standin").toString(),
+                options.home().resolve("bin/banyanspoke-standin").toString(),
                 kind,
                 "--port",
                 String.valueOf(port),
                 "--control-port",
                 String.valueOf(controlPort)));
         command.addAll(List.of(more));
-        standins.add(ManagedProcess.start(command, javaOptions, directory.resolve(kind + ".out")));
+        standins.add(
+                ManagedProcess.start(command, javaOptions, options.directory().resolve(kind + ".out")));
     }
 
     private void publishHosts() throws IOException, InterruptedException {
@@ -119,10 +180,11 @@
     }
 
     private ManagedProcess startHost(int host) throws IOException {
-        Path settings = directory.resolve(Topology.hostId(host) + ".json");
-        Files.writeString(settings, Json.mapper().writeValueAsString(Setup.settings(topology, host, policy)));
-        List<String> command = List.of(home.resolve("bin/banyanspoked").toString(), "--settings", settings.toString());
-        return ManagedProcess.start(command, HOST_OPTIONS, directory.resolve(Topology.hostId(host) + ".out"));
+        Path settings = options.directory().resolve(Topology.hostId(host) + ".json");
+        Files.writeString(settings, Json.mapper().writeValueAsString(Setup.settings(topology, host, options.policy())));
+        List<String> command =
+                List.of(options.home().resolve("bin/banyanspoked").toString(), "--settings", settings.toString());
+        return ManagedProcess.start(command, options.hostJavaOptions(), output(host));
     }
 
     /**
@@ -194,7 +256,7 @@
 
     /** Returns the file of the ledger. */
     public Path ledgerFile() {
-        return directory.resolve("ledger.jsonl");
+        return options.directory().resolve("ledger.jsonl");
     }
 
     private void awaitHttp(int port, String path) throws IOException, InterruptedException {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ManagedProcess.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ManagedProcess.java
@@ -61,4 +61,9 @@
     Duration cpuTime() {
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
     }
+
+    /** Returns the process id. */
+    long pid() {
+        return process.pid();
+    }
 }
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
@@ -15,6 +15,8 @@
 /** Runs a scenario once against new processes. Set up and called once. */
 public final class ScenarioRun {
     private static final int EVENT_LOOPS = 2;
+    /** An entry host gets 2 processors, the size in the throughput target. */
+    private static final String HOST_OPTIONS = "-Xmx256m -XX:ActiveProcessorCount=2";
 
     private final BenchOptions options;
     private final Scenario scenario;
@@ -36,8 +38,9 @@
         Path directory = Files.createTempDirectory("banyanspoke-bench");
         System.err.println(scenario.name() + " seed " + options.seed() + ", output in " + directory);
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
-        try (Cluster cluster =
-                new Cluster(options.home(), directory, scenario, topology, options.seed(), options.policy())) {
+        ClusterOptions clusterOptions = new ClusterOptions(
+                options.home(), directory, options.policy(), options.seed(), scenario.instant(), HOST_OPTIONS);
+        try (Cluster cluster = new Cluster(clusterOptions, topology, Setup.ticket(scenario, topology))) {
             cluster.start();
             Measurement measurement = measure(cluster, topology, vertx);
             if (!options.keepOutput()) {
@@ -63,35 +66,26 @@
         load.prepare();
         LoadPlanner planner = new LoadPlanner(scenario, options.seed(), options.warmupSeconds(), options.seconds());
         List<PlannedJob> jobs = planner.plan(scenario.instant() ? 1 : topology.capacityPerSecond());
-        Measurement.Counts before = counts(cluster);
+        Measurement.Counts before = cluster.counts();
         try (FaultDriver faults = new FaultDriver(cluster, topology, load)) {
             faults.schedule(scenario.faults(), options.warmupSeconds(), options.seconds());
             long startNanos = System.nanoTime();
             List<JobOutcome> outcomes = load.run(jobs, startNanos);
             faults.finish();
-            Measurement.Counts after = counts(cluster);
+            Measurement.Counts after = cluster.counts();
             LedgerStarts starts = LedgerStarts.read(cluster.ledgerFile());
             return new Measurement(
                     topology, jobs, outcomes, startNanos, before, after, starts, faults.exitCodes(), faults.errors());
         }
     }
 
-    private static Measurement.Counts counts(Cluster cluster) throws IOException, InterruptedException {
-        return new Measurement.Counts(
-                System.nanoTime(),
-                cluster.hostCpuTime(),
-                cluster.hostMetrics(),
-                cluster.ledger(),
-                cluster.platformRequests());
-    }
-
-    private static void awaitReady(LoadBalancer balancer, int hosts) throws InterruptedException {
+    static void awaitReady(LoadBalancer balancer, int hosts) throws InterruptedException {
         while (balancer.readyHosts() < hosts) {
             Thread.sleep(20);
         }
     }
 
-    private static List<Integer> callersPorts(Topology topology) {
+    static List<Integer> callersPorts(Topology topology) {
         List<Integer> ports = new ArrayList<>();
         for (int host = 0; host < topology.hosts(); host++) {
             ports.add(topology.callersPort(host));
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Setup.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Setup.java
@@ -54,6 +54,10 @@
         return new TeamConfig(new TeamId(load.name()), 1, starts, inFlight, sha256(token(load.name())));
     }
 
+    static TeamConfig teamWithoutQuota(String name) {
+        return new TeamConfig(new TeamId(name), 1, NO_QUOTA, NO_QUOTA, sha256(token(name)));
+    }
+
     private static BatchConfig batch(Load load) {
         Instant expiry = Instant.now().plus(1, ChronoUnit.DAYS);
         return new BatchConfig(
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Topology.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Topology.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -20,21 +21,32 @@
     /** Tasks that a server executes at once (design, section 1). */
     public static final int SLOTS = 8;
 
+    /** Label of the servers that listen. */
+    public static final String SERVED = "served";
+
     private static final int CONNECTIONS = 64;
+    /** Kilima's racks hold 8 (design, section 1). */
+    private static final int SERVERS_PER_RACK = 8;
+
+    private static final int CLOSED_PORT = 9;
+    private static final int ADDRESSES_PER_BLOCK = 250;
     private static final int PORTS_PER_HOST = 3;
     private static final int PLATFORM_PORTS = 5;
 
-    private final Shape shape;
-    private final double scale;
+    private final int zones;
+    private final int serversPerRack;
     private final int hosts;
     private final List<Double> speeds;
+    private final int configuredServers;
     private final int basePort;
 
-    private Topology(Shape shape, double scale, int hosts, List<Double> speeds, int basePort) {
-        this.shape = shape;
-        this.scale = scale;
+    private Topology(
+            int zones, int serversPerRack, int hosts, List<Double> speeds, int configuredServers, int basePort) {
+        this.zones = zones;
+        this.serversPerRack = serversPerRack;
         this.hosts = hosts;
         this.speeds = speeds;
+        this.configuredServers = configuredServers;
         this.basePort = basePort;
     }
 
@@ -48,7 +60,21 @@
         int servers = shape.servers(scale);
         List<Double> speeds = speeds(servers, scenario.speedRatio());
         int base = Ports.block(PLATFORM_PORTS + servers + hosts * PORTS_PER_HOST);
-        return new Topology(shape, scale, hosts, speeds, base);
+        return new Topology(shape.zones(), shape.serversPerRack(scale), hosts, speeds, servers, base);
+    }
+
+    /**
+     * Lays out equal servers of which only the first listen. The others are entries of the configuration with closed
+     * ports. Listening servers have the label {@value #SERVED}.
+     *
+     * @throws IOException if there are no free ports
+     */
+    public static Topology ofSize(int zones, int hosts, int configuredServers, int listeningServers)
+            throws IOException {
+        int listening = Math.min(configuredServers, listeningServers);
+        int base = Ports.block(PLATFORM_PORTS + listening + hosts * PORTS_PER_HOST);
+        List<Double> speeds = Collections.nCopies(listening, 1.0);
+        return new Topology(zones, SERVERS_PER_RACK, hosts, speeds, configuredServers, base);
     }
 
     /** Returns speeds spread evenly in the logarithm around 1, fastest and slowest servers in every zone. */
@@ -110,12 +136,12 @@
     }
 
     String zone(int index) {
-        return "z" + (index % shape.zones() + 1);
+        return "z" + (index % zones + 1);
     }
 
     private String rack(int server) {
-        int indexInZone = server / shape.zones();
-        return zone(server) + "-r" + (indexInZone / shape.serversPerRack(scale) + 1);
+        int indexInZone = server / zones;
+        return zone(server) + "-r" + (indexInZone / serversPerRack + 1);
     }
 
     /** Returns the indexes of the servers that a fault concerns. */
@@ -154,20 +180,27 @@
 
     List<BackendServerConfig> serverConfigs() {
         List<BackendServerConfig> configs = new ArrayList<>();
-        for (int server = 0; server < speeds.size(); server++) {
+        for (int server = 0; server < configuredServers; server++) {
             configs.add(new BackendServerConfig(
                     new ServerId("b" + server),
                     new ZoneId(zone(server)),
                     rack(server),
-                    "127.0.0.1:" + serverPort(server),
+                    serverAddress(server),
                     SLOTS,
                     CONNECTIONS,
-                    Set.of(),
+                    server < speeds.size() ? Set.of(SERVED) : Set.of(),
                     ServerState.IN_SERVICE));
         }
         return configs;
     }
 
+    private String serverAddress(int server) {
+        if (server < speeds.size()) {
+            return "127.0.0.1:" + serverPort(server);
+        }
+        return "127.1." + server / ADDRESSES_PER_BLOCK + "." + (server % ADDRESSES_PER_BLOCK + 1) + ":" + CLOSED_PORT;
+    }
+
     static String hostId(int host) {
         return "h" + (host + 1);
     }
--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/log/LogStandin.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/log/LogStandin.java
@@ -37,12 +37,13 @@
     private record Message(String message) {}
 
     /**
-     * Requests received.
+     * Requests received and bytes sent.
      *
      * @param appends append requests
      * @param reads read requests
+     * @param readBytes bytes of the bodies of responses to reads
      */
-    public record Counts(long appends, long reads) {}
+    public record Counts(long appends, long reads, long readBytes) {}
 
     private final int port;
     private final int controlPort;
@@ -51,6 +52,7 @@
     private RateLimiter limiter;
     private long appends;
     private long reads;
+    private long readBytes;
     private HttpServer server;
     private ControlServer control;
 
@@ -70,7 +72,7 @@
     public Future<?> start() {
         control = new ControlServer(vertx)
                 .get("/options", query -> options)
-                .get("/counts", query -> new Counts(appends, reads))
+                .get("/counts", query -> new Counts(appends, reads, readBytes))
                 .post("/options", (query, body) -> change(body));
         server = vertx.createHttpServer().requestHandler(this::handle);
         return server.listen(port, "127.0.0.1").compose(listening -> control.start(controlPort));
@@ -98,6 +100,7 @@
             appends++;
         } else {
             reads++;
+            request.response().endHandler(end -> readBytes += request.response().bytesWritten());
         }
         switch (options.outage()) {
             case NONE -> serve(request, append);
