--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ManagedProcess.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ManagedProcess.java
@@ -77,4 +77,9 @@
     public Duration cpuTime() {
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
     }
+
+    /** Returns the process id. */
+    long pid() {
+        return process.pid();
+    }
 }
