--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -90,15 +90,7 @@
                 new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
         this.forwarder = new StoppableForwarder(control::forward);
         this.callers = HttpServices.callers(
-                trafficVertx,
-                settings.callers(),
-                callerLoops,
-                control,
-                dispatch,
-                forwarder,
-                this,
-                bodies,
-                metrics);
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, forwarder, this, bodies, metrics);
         control.attach(new ForwardedJobs(dispatch, bodies));
         register(metrics);
     }
