--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -1,11 +1,13 @@
 package org.banyanspoke.core.routing.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.banyanspoke.api.config.BackendServerConfig;
 import org.banyanspoke.api.config.BatchConfig;
 import org.banyanspoke.api.config.EntryHostConfig;
@@ -36,7 +38,9 @@
     private final ServerSelector selector;
     private final OutlierDetector outliers;
     private final SubsetAssignment assignment;
-    private final Map<ServerId, PooledServer> servers = new HashMap<>();
+    /** Sorted, because the choice between equal servers depends on their order and is to be the same for a seed. */
+    private final Map<ServerId, PooledServer> servers = new TreeMap<>(Comparator.comparing(ServerId::value));
+
     private final Map<BatchId, Eligible> eligibleByBatch = new HashMap<>();
     private final List<PooledServer> withRoom = new ArrayList<>();
     private Set<ServerId> leaving = Set.of();
