Remember that no server has room; do not trust a report that never came

Cause: when all servers are full, each waiting batch looked at every server; the slot that floods leave free makes this the usual case in a flood. The test of the new rule found a second fault: with a monotonic clock below 0 a server that had never reported counted as free, so hosts went beyond their window. Change: RefusedClaims keeps a refusal by all servers for the claim until a result or a change of the servers, at most 1 ms. A load report counts only once there is one. Batches that may use only some of the servers still look at each of them.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -43,6 +43,7 @@
 
     private final Map<BatchId, Eligible> eligibleByBatch = new HashMap<>();
     private final List<PooledServer> withRoom = new ArrayList<>();
+    private final RefusedClaims refusedClaims = new RefusedClaims();
     private Set<ServerId> leaving = Set.of();
 
     /** Servers that one batch may use, as far as the configuration says. */
@@ -67,6 +68,7 @@
     @Override
     public void configure(ConfigState config) {
         eligibleByBatch.clear();
+        refusedClaims.clear();
         servers.keySet().retainAll(config.servers().keySet());
         for (BackendServerConfig server : config.servers().values()) {
             configureServer(config, server);
@@ -95,6 +97,7 @@
     @Override
     public void setLeaving(Set<ServerId> newLeaving) {
         leaving = Set.copyOf(newLeaving);
+        refusedClaims.clear();
         for (PooledServer server : servers.values()) {
             server.setLeavingElsewhere(leaving.contains(server.id()));
         }
@@ -113,18 +116,31 @@
     @Override
     public Optional<ServerId> select(BatchConfig batch, TaskSpec task, SlotClaim claim) {
         long nowNanos = clock.nanos();
-        withRoom.clear();
+        if (refusedClaims.contains(claim, nowNanos)) {
+            return Optional.empty();
+        }
         List<PooledServer> candidates = eligible(batch);
-        double limitNanos = runTimeLimitNanos(batch, candidates);
+        findRoom(candidates, claim, nowNanos);
+        if (withRoom.isEmpty() && candidates.size() == servers.size()) {
+            refusedClaims.add(claim, nowNanos);
+        }
+        return withRoom.isEmpty() ? Optional.empty() : selectWithRoom(batch, task, candidates, nowNanos);
+    }
+
+    private void findRoom(List<PooledServer> candidates, SlotClaim claim, long nowNanos) {
+        withRoom.clear();
         for (int i = 0; i < candidates.size(); i++) {
-            PooledServer server = candidates.get(i);
-            if (server.admits(nowNanos, task.idempotent(), claim) && server.endsWithin(limitNanos)) {
-                withRoom.add(server);
+            if (candidates.get(i).hasRoom(nowNanos, claim)) {
+                withRoom.add(candidates.get(i));
             }
         }
-        return withRoom.isEmpty()
-                ? Optional.empty()
-                : selector.select(withRoom, task).map(ServerCandidate::id);
+    }
+
+    private Optional<ServerId> selectWithRoom(
+            BatchConfig batch, TaskSpec task, List<PooledServer> candidates, long nowNanos) {
+        double limitNanos = runTimeLimitNanos(batch, candidates);
+        withRoom.removeIf(server -> !server.admits(nowNanos, task.idempotent()) || !server.endsWithin(limitNanos));
+        return selector.select(withRoom, task).map(ServerCandidate::id);
     }
 
     /**
@@ -151,6 +167,7 @@
 
     @Override
     public void onEnded(ServerId server, TaskSpec task, AttemptResult result) {
+        refusedClaims.clear();
         PooledServer pooled = servers.get(server);
         if (pooled != null) {
             boolean failed = result.outcome() != AttemptResult.Outcome.DONE;
@@ -172,6 +189,7 @@
 
     @Override
     public void onStopped(ServerId server, TaskSpec task, AttemptResult result) {
+        refusedClaims.clear();
         PooledServer pooled = servers.get(server);
         if (pooled != null) {
             pooled.onStopped(result);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -39,6 +39,7 @@
     private int inFlight;
     private boolean lastFailed;
     private double othersLoad;
+    private boolean loadReported;
     private long loadKnownUntilNanos;
     private double unknownRatio = 1;
 
@@ -76,17 +77,17 @@
         return config.state() == ServerState.LEAVING || leavingElsewhere || leavingMark.isSet();
     }
 
-    boolean admits(long nowNanos, boolean idempotent, SlotClaim claim) {
-        return hasRoom(nowNanos, claim) && !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
+    boolean admits(long nowNanos, boolean idempotent) {
+        return !isLeaving() && ejection.admits(nowNanos, idempotent, inFlight);
     }
 
     /**
      * Returns whether a claim finds room. The window divides the slots evenly among the hosts; a host with a burst of
      * protected work goes beyond it where the last report shows free slots, and floods leave it some.
      */
-    private boolean hasRoom(long nowNanos, SlotClaim claim) {
+    boolean hasRoom(long nowNanos, SlotClaim claim) {
         boolean inWindow = inFlight < (int) window;
-        if (loadKnownUntilNanos - nowNanos <= 0) {
+        if (!loadReported || loadKnownUntilNanos - nowNanos <= 0) {
             return inWindow;
         }
         double free = slots() - expectedLoad();
@@ -128,6 +129,7 @@
         inFlight = Math.max(0, inFlight - 1);
         if (result.load() != null) {
             othersLoad = Math.max(0, result.load().running() + result.load().queued() - inFlight);
+            loadReported = true;
             loadKnownUntilNanos = nowNanos + LOAD_REPORT_NANOS;
         }
         lastFailed = result.outcome() != AttemptResult.Outcome.DONE;
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
@@ -188,6 +188,24 @@
             assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).contains(S0);
         }
 
+        /** Guards against a remembered refusal that outlives a result, a stopped task or an old load report. */
+        @Test
+        void refusalEndsWithAnyRoom() {
+            pool.onSent(S0, TASK);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
+            pool.onStopped(S0, TASK, new AttemptResult(Outcome.FAILED, "", MILLI, null, false, "1"));
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
+            pool.onSent(S0, TASK);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).isEmpty();
+            pool.onEnded(S0, TASK, new AttemptResult(Outcome.DONE, "", 100 * MILLI, null, false, "1"));
+            assertThat(pool.select(BATCH, TASK, SlotClaim.PROTECTED)).contains(S0);
+            end(S0, Outcome.DONE, 100, new LoadReport(7, 0, 8));
+            nowNanos += 2 * SECOND - 1;
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).isEmpty();
+            nowNanos += MILLI;
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).contains(S0);
+        }
+
         /** Guards against a host that cannot use free slots for a burst, or goes beyond the free ones. */
         @Test
         void protectedWorkUsesFreeSlotsBeyondTheWindow() {
