--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/AdaptiveServerPool.java
@@ -1,11 +1,13 @@
 package org.banyanspoke.core.routing.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.banyanspoke.api.config.BackendServerConfig;
 import org.banyanspoke.api.config.BatchConfig;
 import org.banyanspoke.api.config.EntryHostConfig;
@@ -36,9 +38,12 @@
     private final ServerSelector selector;
     private final OutlierDetector outliers;
     private final SubsetAssignment assignment;
-    private final Map<ServerId, PooledServer> servers = new HashMap<>();
+    /** Sorted, because the choice between equal servers depends on their order and is to be the same for a seed. */
+    private final Map<ServerId, PooledServer> servers = new TreeMap<>(Comparator.comparing(ServerId::value));
+
     private final Map<BatchId, Eligible> eligibleByBatch = new HashMap<>();
     private final List<PooledServer> withRoom = new ArrayList<>();
+    private final RefusedClaims refusedClaims = new RefusedClaims();
     private Set<ServerId> leaving = Set.of();
 
     /** Servers that one batch may use, as far as the configuration says. */
@@ -63,6 +68,7 @@
     @Override
     public void configure(ConfigState config) {
         eligibleByBatch.clear();
+        refusedClaims.clear();
         servers.keySet().retainAll(config.servers().keySet());
         for (BackendServerConfig server : config.servers().values()) {
             configureServer(config, server);
@@ -91,6 +97,7 @@
     @Override
     public void setLeaving(Set<ServerId> newLeaving) {
         leaving = Set.copyOf(newLeaving);
+        refusedClaims.clear();
         for (PooledServer server : servers.values()) {
             server.setLeavingElsewhere(leaving.contains(server.id()));
         }
@@ -109,18 +116,31 @@
     @Override
     public Optional<ServerId> select(BatchConfig batch, TaskSpec task, SlotClaim claim) {
         long nowNanos = clock.nanos();
-        withRoom.clear();
+        if (refusedClaims.contains(claim, nowNanos)) {
+            return Optional.empty();
+        }
         List<PooledServer> candidates = eligible(batch);
-        double limitNanos = runTimeLimitNanos(batch, candidates);
+        findRoom(candidates, claim, nowNanos);
+        if (withRoom.isEmpty() && candidates.size() == servers.size()) {
+            refusedClaims.add(claim, nowNanos);
+        }
+        return withRoom.isEmpty() ? Optional.empty() : selectWithRoom(batch, task, candidates, nowNanos);
+    }
+
+    private void findRoom(List<PooledServer> candidates, SlotClaim claim, long nowNanos) {
+        withRoom.clear();
         for (int i = 0; i < candidates.size(); i++) {
-            PooledServer server = candidates.get(i);
-            if (server.admits(nowNanos, task.idempotent(), claim) && server.endsWithin(limitNanos)) {
-                withRoom.add(server);
+            if (candidates.get(i).hasRoom(nowNanos, claim)) {
+                withRoom.add(candidates.get(i));
             }
         }
-        return withRoom.isEmpty()
-                ? Optional.empty()
-                : selector.select(withRoom, task).map(ServerCandidate::id);
+    }
+
+    private Optional<ServerId> selectWithRoom(
+            BatchConfig batch, TaskSpec task, List<PooledServer> candidates, long nowNanos) {
+        double limitNanos = runTimeLimitNanos(batch, candidates);
+        withRoom.removeIf(server -> !server.admits(nowNanos, task.idempotent()) || !server.endsWithin(limitNanos));
+        return selector.select(withRoom, task).map(ServerCandidate::id);
     }
 
     /**
@@ -147,6 +167,7 @@
 
     @Override
     public void onEnded(ServerId server, TaskSpec task, AttemptResult result) {
+        refusedClaims.clear();
         PooledServer pooled = servers.get(server);
         if (pooled != null) {
             boolean failed = result.outcome() != AttemptResult.Outcome.DONE;
@@ -168,6 +189,7 @@
 
     @Override
     public void onStopped(ServerId server, TaskSpec task, AttemptResult result) {
+        refusedClaims.clear();
         PooledServer pooled = servers.get(server);
         if (pooled != null) {
             pooled.onStopped(result);
