Lend tasks in flight for whole jobs; a restarted lender holds back its loans

With 180 hosts each has 1/180 of a team's quota, so a team with fewer than 198,000 tasks in flight could not run its largest job of 1,100 tasks: a refused job did not count as demand, and a loan was half of one other host's share. Where even parts are that small, half of the quota is now a reserve on as few hosts as still hold a largest job each; hosts that lack share ask them. A refused job counts as wanted for 5 s or until it is admitted. A loan that is still needed is extended under its own request id, instead of ending before the lender can lend the same part again. Retry-After is sent for a job above the host's share, since a loan may come; a job above the team's whole quota is refused without one.

A restarted lender forgot what it had lent, so the sum could exceed the quota for up to 5 s after a crash. For its first 6 s a process now lends nothing and counts only what is never lent. Admission of tasks on a loan now ends with the loan also when no newer share arrives; it did so for starts only.

Considered: many small loans at once. A job needs 39 lenders of 28 tasks each, 40 requests every few seconds, which is above the 3 KB/s for control.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/ContractRules.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/ContractRules.java
@@ -41,7 +41,8 @@
      * Finds the contract of a job.
      *
      * @throws RefusedException as {@link #checkTeam}, and {@link ErrorKind#UNKNOWN_BATCH},
-     *     {@link ErrorKind#CONTRACT_EXPIRED} or {@link ErrorKind#INVALID_JOB} for a promise above the batch's
+     *     {@link ErrorKind#CONTRACT_EXPIRED}, {@link ErrorKind#INVALID_JOB} for a promise above the batch's, or {@link
+     *     ErrorKind#QUOTA_EXCEEDED} for a job that is larger than the team's quota over all hosts
      */
     public AdmissionRequest check(ConfigState config, TeamId team, JobRequest job) throws RefusedException {
         checkTeam(config, team);
@@ -56,6 +57,14 @@
                     "the contract of batch \"" + batch.id() + "\" expired at " + batch.contractExpiry(),
                     0);
         }
+        int quota = config.teams().get(team).tasksInFlight();
+        if (job.tasks().size() > quota) {
+            throw new RefusedException(
+                    ErrorKind.QUOTA_EXCEEDED,
+                    "team \"" + team + "\" may have " + quota + " tasks in flight, this job has "
+                            + job.tasks().size(),
+                    0);
+        }
         return new AdmissionRequest(team, job, batch, promiseMillis(batch, job));
     }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/LoadRules.java
@@ -47,12 +47,11 @@
     private static void checkTasksInFlight(AdmissionRequest request, AdmissionLoad load) throws RefusedException {
         int tasks = request.job().tasks().size();
         if (load.teamInFlight() + tasks > load.teamMaxInFlight()) {
-            boolean everFits = tasks <= load.teamMaxInFlight();
             throw new RefusedException(
                     ErrorKind.QUOTA_EXCEEDED,
                     "team \"" + request.team() + "\" has " + load.teamInFlight() + " tasks in flight at this host, "
                             + tasks + " more exceed its share of " + load.teamMaxInFlight(),
-                    everFits ? QUOTA_RETRY_MILLIS : 0);
+                    QUOTA_RETRY_MILLIS);
         }
     }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/TeamUsage.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/admission/internal/TeamUsage.java
@@ -8,31 +8,39 @@
 public final class TeamUsage {
     private static final long METER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Callers retry a refused job after 1 s; a loan that is asked for meanwhile lasts 5 s. */
+    private static final int REFUSED_INTERVALS = 5;
+
     private final StartBucket bucket;
-    private int maxInFlight;
+    private Share share;
     private int waiting;
     private int running;
 
     private long meterStartNanos;
     private int meterStarts;
     private int meterRefused;
+    private int largestRefused;
+    private int intervalsSinceRefused;
     private double startsPerSecond;
     private double wantedPerSecond;
 
     TeamUsage(Share share, long nowNanos) {
         bucket = new StartBucket(share, nowNanos);
-        maxInFlight = share.tasksInFlight();
+        this.share = share;
         meterStartNanos = nowNanos;
     }
 
-    void setShare(Share share, long nowNanos) {
-        bucket.setShare(share, nowNanos);
-        maxInFlight = share.tasksInFlight();
+    void setShare(Share latest, long nowNanos) {
+        bucket.setShare(latest, nowNanos);
+        share = latest;
     }
 
     /** Records tasks that begin to wait. */
     public void onWaiting(int tasks) {
         waiting += tasks;
+        if (tasks >= largestRefused) {
+            largestRefused = 0;
+        }
     }
 
     /** Records waiting tasks that will not be sent. */
@@ -58,9 +66,13 @@
         running--;
     }
 
-    /** Records tasks that were refused because of the quota. */
+    /** Records the tasks of a job that was refused because of the quota. */
     public void onRefused(int tasks) {
         meterRefused += tasks;
+        if (tasks >= largestRefused) {
+            largestRefused = tasks;
+            intervalsSinceRefused = 0;
+        }
     }
 
     /** Returns the tasks that wait. */
@@ -73,9 +85,9 @@
         return waiting + running;
     }
 
-    /** Returns the tasks that may wait or run. */
-    public int maxInFlight() {
-        return maxInFlight;
+    /** Returns the tasks that may wait or run at a time. */
+    public int maxInFlight(long nowNanos) {
+        return share.tasksInFlightAt(nowNanos);
     }
 
     /** Returns the starts that the quota allows at once. */
@@ -91,7 +103,7 @@
     /** Returns starts and demand of the last whole second. */
     public TeamDemand demand(long nowNanos) {
         rollMeter(nowNanos);
-        return new TeamDemand(startsPerSecond, wantedPerSecond, inFlight());
+        return new TeamDemand(startsPerSecond, wantedPerSecond, inFlight(), inFlight() + largestRefused);
     }
 
     /** Closes the meter's interval when it has lasted a second. Waiting tasks count as wanted if quota holds them. */
@@ -106,6 +118,10 @@
         wantedPerSecond = (meterStarts + meterRefused + held) / seconds;
         meterStarts = 0;
         meterRefused = 0;
+        intervalsSinceRefused++;
+        if (intervalsSinceRefused > REFUSED_INTERVALS) {
+            largestRefused = 0;
+        }
         meterStartNanos = nowNanos;
     }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/DispatcherStats.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/DispatcherStats.java
@@ -32,8 +32,9 @@
      * @param startsPerSecond starts a second lately
      * @param wantedPerSecond starts a second that it would have made with no quota
      * @param tasksInFlight waiting and running tasks
+     * @param wantedInFlight these and the tasks of the largest job that the quota refused lately
      */
-    public record TeamDemand(double startsPerSecond, double wantedPerSecond, int tasksInFlight) {}
+    public record TeamDemand(double startsPerSecond, double wantedPerSecond, int tasksInFlight, int wantedInFlight) {}
 
     /**
      * One backend server as this host sees it.
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/LoadMeter.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/dispatch/internal/LoadMeter.java
@@ -52,7 +52,7 @@
                 queue.expectedWaitNanos(urgency, request.team(), slots),
                 usage.waiting(),
                 usage.inFlight(),
-                usage.maxInFlight(),
+                usage.maxInFlight(nowNanos),
                 usage.allowedPerSecond(nowNanos),
                 usage.startsReady(nowNanos));
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/QuotaLendings.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/QuotaLendings.java
@@ -10,7 +10,8 @@
     private QuotaLendings() {}
 
     /**
-     * Returns a state machine that lends at most half of a host's recently unused share.
+     * Returns a state machine that lends at most half of a host's recently unused even part and its whole unused
+     * reserve; see {@link RosterShares}.
      *
      * @param self this entry host
      * @param clock times the loans
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/internal/HalfUnusedLending.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/internal/HalfUnusedLending.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.core.quota.internal;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,29 +15,37 @@
 import org.banyanspoke.core.quota.QuotaAmount;
 import org.banyanspoke.core.quota.QuotaLending;
 import org.banyanspoke.core.quota.QuotaShares;
+import org.banyanspoke.core.quota.RosterPart;
 import org.banyanspoke.core.quota.RosterShares;
 import org.banyanspoke.core.time.MonotonicClock;
 
-/** Lends at most half of the recently unused share. */
+/** Lends at most half of the recently unused even part, and the whole unused reserve. */
 public final class HalfUnusedLending implements QuotaLending {
     private static final long BORROWED_NANOS = 5_000_000_000L;
     private static final long LENT_NANOS = 6_000_000_000L;
 
-    /** Loans that lapse within two ticks are replaced ahead of time. */
-    private static final long RENEW_NANOS = 2_000_000_000L;
+    /** Three ticks, so that a loan outlives two lost renewals. */
+    private static final long RENEW_NANOS = 3_000_000_000L;
 
     /** Recent use fades by a fifth a second, so a share counts as unused about 5 s after a burst. */
     private static final double USE_DECAY = 0.8;
 
+    /** Another host than those with a reserve is asked once in so many times: they may all be gone or used up. */
+    private static final int ANY_HOST_ONCE_IN = 4;
+
     private final HostId self;
     private final MonotonicClock clock;
     private final UniformRandomProvider random;
+    private final long createdNanos;
     private final LoanBook taken = new LoanBook();
     private final LoanBook given = new LoanBook();
     private final Map<Long, Sent> sentRequests = new HashMap<>();
     private final Map<TeamId, QuotaAmount> recentUse = new HashMap<>();
-    private Map<TeamId, QuotaAmount> base = Map.of();
-    private long configNumber;
+    private Map<TeamId, RosterPart> base = Map.of();
+    private ConfigState config = ConfigState.EMPTY;
+    private boolean mayHaveForgottenLoans = true;
+    /** Each renewal has its own id: a grant must not be taken for the answer to a request that was sent later. */
+    private int renewals;
 
     /** A request without grant so far. */
     private record Sent(HostId lender, long sentNanos) {}
@@ -46,89 +55,147 @@
         this.self = self;
         this.clock = clock;
         this.random = random;
+        this.createdNanos = clock.nanos();
     }
 
     @Override
-    public void configure(ConfigState config) {
-        if (config.number() != configNumber) {
+    public void configure(ConfigState latest) {
+        if (latest.number() != config.number()) {
             taken.clear();
             sentRequests.clear();
         }
-        configNumber = config.number();
+        config = latest;
         base = RosterShares.of(config, self);
         recentUse.keySet().retainAll(base.keySet());
     }
 
     @Override
-    public Optional<LoanRequest> tick(Map<TeamId, TeamDemand> demand, List<HostId> livePeers) {
+    public List<LoanRequest> tick(Map<TeamId, TeamDemand> demand, List<HostId> livePeers) {
         long nowNanos = clock.nanos();
         dropExpired(nowNanos);
-        Map<TeamId, QuotaAmount> wanted = new HashMap<>();
+        Map<TeamId, QuotaAmount> needs = new HashMap<>();
+        Map<TeamId, QuotaAmount> missing = new HashMap<>();
         for (TeamId team : base.keySet()) {
-            TeamDemand teamDemand = demand.getOrDefault(team, new TeamDemand(0, 0, 0));
-            recordUse(team, teamDemand);
-            QuotaAmount missing = missing(team, teamDemand, nowNanos);
-            if (!missing.isNone()) {
-                wanted.put(team, missing);
+            QuotaAmount need = need(demand.get(team));
+            needs.put(team, need);
+            recentUse.merge(team, need, (before, now) -> fade(before).max(now));
+            QuotaAmount lacking = need.minus(share(team, nowNanos));
+            if (!lacking.isNone()) {
+                missing.put(team, lacking);
             }
         }
-        if (wanted.isEmpty() || livePeers.isEmpty()) {
-            return Optional.empty();
+        List<LoanRequest> requests = new ArrayList<>();
+        renewal(needs, nowNanos).ifPresent(requests::add);
+        if (!missing.isEmpty() && !livePeers.isEmpty()) {
+            requests.add(request(LoanRequest.newLoan(random.nextLong()), lender(missing, livePeers), missing));
         }
-        HostId lender = livePeers.get(random.nextInt(livePeers.size()));
-        long requestId = random.nextLong();
-        sentRequests.put(requestId, new Sent(lender, nowNanos));
-        return Optional.of(new LoanRequest(self, lender, requestId, configNumber, wanted));
+        return requests;
+    }
+
+    private static QuotaAmount need(TeamDemand demand) {
+        return demand == null
+                ? QuotaAmount.NONE
+                : new QuotaAmount((long) (demand.wantedPerSecond() * QuotaAmount.MICROS), demand.wantedInFlight());
     }
 
-    private void recordUse(TeamId team, TeamDemand demand) {
-        QuotaAmount before = recentUse.getOrDefault(team, QuotaAmount.NONE);
-        QuotaAmount faded = new QuotaAmount(
-                (long) (before.microStartsPerSecond() * USE_DECAY), (long) (before.tasksInFlight() * USE_DECAY));
-        QuotaAmount now =
-                new QuotaAmount((long) (demand.wantedPerSecond() * QuotaAmount.MICROS), demand.tasksInFlight());
-        recentUse.put(team, faded.max(now));
+    private static QuotaAmount fade(QuotaAmount use) {
+        return new QuotaAmount(
+                (long) (use.microStartsPerSecond() * USE_DECAY), (long) (use.tasksInFlight() * USE_DECAY));
     }
 
-    /** Returns what the team needs beyond the share that it still has when loans about to lapse are gone. */
-    private QuotaAmount missing(TeamId team, TeamDemand demand, long nowNanos) {
-        QuotaAmount share = ownShare(team, nowNanos).plus(taken.sum(team, nowNanos + RENEW_NANOS));
-        long wantedMicros = (long) (demand.wantedPerSecond() * QuotaAmount.MICROS);
-        // Refused tasks are not counted as in flight, so a share that is nearly used up is doubled.
-        boolean nearlyFull = demand.tasksInFlight() > 0 && demand.tasksInFlight() >= 0.8 * share.tasksInFlight();
-        long wantedInFlight = nearlyFull ? 2L * demand.tasksInFlight() : 0;
-        return new QuotaAmount(wantedMicros, wantedInFlight).minus(share);
+    /** Asks to extend the loan that lapses first among those that lapse soon and are needed. */
+    private Optional<LoanRequest> renewal(Map<TeamId, QuotaAmount> needs, long nowNanos) {
+        return taken.lapsingWithin(RENEW_NANOS, nowNanos).stream()
+                .filter(loan -> isNeeded(loan, needs, nowNanos))
+                .findFirst()
+                .map(loan -> request(LoanRequest.renewalOf(loan.requestId(), ++renewals), loan.peer(), loan.amounts()));
+    }
+
+    private boolean isNeeded(LoanBook.Loan loan, Map<TeamId, QuotaAmount> needs, long nowNanos) {
+        return loan.amounts().entrySet().stream().anyMatch(entry -> {
+            QuotaAmount without = share(entry.getKey(), nowNanos).minus(entry.getValue());
+            QuotaAmount need = needs.getOrDefault(entry.getKey(), QuotaAmount.NONE);
+            return !need.minus(without).min(entry.getValue()).isNone();
+        });
     }
 
-    /** Returns the part of the roster share that is not lent. */
+    private LoanRequest request(long requestId, HostId lender, Map<TeamId, QuotaAmount> wanted) {
+        sentRequests.put(requestId, new Sent(lender, clock.nanos()));
+        return new LoanRequest(self, lender, requestId, config.number(), wanted);
+    }
+
+    private HostId lender(Map<TeamId, QuotaAmount> missing, List<HostId> livePeers) {
+        List<HostId> holders = missing.entrySet().stream()
+                .filter(entry -> entry.getValue().tasksInFlight() > 0)
+                .flatMap(entry -> RosterShares.reserveHolders(config, entry.getKey()).stream())
+                .filter(livePeers::contains)
+                .toList();
+        boolean any = holders.isEmpty() || random.nextInt(ANY_HOST_ONCE_IN) == 0;
+        List<HostId> candidates = any ? livePeers : holders;
+        return candidates.get(random.nextInt(candidates.size()));
+    }
+
+    /**
+     * Returns the part of the roster share that is not lent. An earlier process of this host may have lent all that it could;
+     * until the last such loan has lapsed, only what is never lent counts.
+     */
     private QuotaAmount ownShare(TeamId team, long nowNanos) {
-        return base.getOrDefault(team, QuotaAmount.NONE).minus(given.sum(team, nowNanos));
+        RosterPart part = base.getOrDefault(team, RosterPart.NONE);
+        return mayHaveForgottenLoans(nowNanos) ? part.kept() : part.whole().minus(given.sum(team));
+    }
+
+    private boolean mayHaveForgottenLoans(long nowNanos) {
+        mayHaveForgottenLoans = mayHaveForgottenLoans && nowNanos - createdNanos < LENT_NANOS;
+        return mayHaveForgottenLoans;
+    }
+
+    private QuotaAmount share(TeamId team, long nowNanos) {
+        return ownShare(team, nowNanos).plus(taken.sum(team));
     }
 
     @Override
     public Optional<LoanGrant> onRequest(LoanRequest request) {
         long nowNanos = clock.nanos();
         dropExpired(nowNanos);
-        if (request.configNumber() != configNumber || !request.lender().equals(self)) {
+        boolean refused = request.configNumber() != config.number()
+                || !request.lender().equals(self)
+                || mayHaveForgottenLoans(nowNanos);
+        if (refused) {
             return Optional.empty();
         }
-        LoanBook.Loan existing = given.find(request.borrower(), request.requestId());
-        if (existing != null) {
-            return Optional.of(grant(request, existing.amounts()));
-        }
-        Map<TeamId, QuotaAmount> amounts = lendable(request.wanted(), nowNanos);
-        if (amounts.isEmpty()) {
-            return Optional.empty();
+        Optional<LoanBook.Loan> existing = given.find(request.borrower(), request.requestId());
+        if (existing.isPresent()) {
+            return extend(existing.get(), request, nowNanos);
         }
-        given.add(new LoanBook.Loan(request.borrower(), request.requestId(), nowNanos + LENT_NANOS, amounts));
-        return Optional.of(grant(request, amounts));
+        Map<TeamId, QuotaAmount> amounts = request.isRenewal() ? Map.of() : lendable(request.wanted(), nowNanos);
+        return amounts.isEmpty() ? Optional.empty() : Optional.of(lend(request, amounts, nowNanos));
+    }
+
+    /** A repeated first request gets the same grant. A renewal is refused if this host needs its share itself. */
+    private Optional<LoanGrant> extend(LoanBook.Loan existing, LoanRequest request, long nowNanos) {
+        boolean needed = existing.amounts().keySet().stream()
+                .anyMatch(team -> !recentUse
+                        .getOrDefault(team, QuotaAmount.NONE)
+                        .minus(share(team, nowNanos))
+                        .isNone());
+        return request.isRenewal() && needed
+                ? Optional.empty()
+                : Optional.of(lend(request, existing.amounts(), nowNanos));
+    }
+
+    private LoanGrant lend(LoanRequest request, Map<TeamId, QuotaAmount> amounts, long nowNanos) {
+        given.put(new LoanBook.Loan(request.borrower(), request.requestId(), nowNanos + LENT_NANOS, amounts));
+        return new LoanGrant(request.borrower(), self, request.requestId(), config.number(), amounts);
     }
 
     private Map<TeamId, QuotaAmount> lendable(Map<TeamId, QuotaAmount> wanted, long nowNanos) {
         Map<TeamId, QuotaAmount> amounts = new HashMap<>();
         wanted.forEach((team, amount) -> {
+            RosterPart part = base.getOrDefault(team, RosterPart.NONE);
             QuotaAmount unused = ownShare(team, nowNanos).minus(recentUse.getOrDefault(team, QuotaAmount.NONE));
-            QuotaAmount lent = unused.half().min(amount);
+            QuotaAmount offered = unused.half().max(unused.minus(part.even()));
+            QuotaAmount left = part.lendable().minus(given.sum(team));
+            QuotaAmount lent = offered.min(left).min(amount);
             if (!lent.isNone()) {
                 amounts.put(team, lent);
             }
@@ -136,10 +203,6 @@
         return amounts;
     }
 
-    private LoanGrant grant(LoanRequest request, Map<TeamId, QuotaAmount> amounts) {
-        return new LoanGrant(request.borrower(), self, request.requestId(), configNumber, amounts);
-    }
-
     @Override
     public void onGrant(LoanGrant grant) {
         long nowNanos = clock.nanos();
@@ -147,13 +210,13 @@
         Sent sent = sentRequests.get(grant.requestId());
         boolean expected = sent != null
                 && sent.lender().equals(grant.lender())
-                && grant.configNumber() == configNumber
+                && grant.configNumber() == config.number()
                 && grant.borrower().equals(self);
         if (!expected) {
             return;
         }
         sentRequests.remove(grant.requestId());
-        taken.add(new LoanBook.Loan(
+        taken.put(new LoanBook.Loan(
                 grant.lender(), grant.requestId(), sent.sentNanos() + BORROWED_NANOS, grant.granted()));
     }
 
@@ -169,19 +232,17 @@
         dropExpired(nowNanos);
         Map<TeamId, QuotaShares.Share> shares = new HashMap<>();
         for (TeamId team : base.keySet()) {
-            shares.put(team, share(team, nowNanos));
+            QuotaAmount own = ownShare(team, nowNanos);
+            QuotaAmount withLoans = own.plus(taken.sum(team));
+            shares.put(
+                    team,
+                    new QuotaShares.Share(
+                            withLoans.startsPerSecond(),
+                            Math.toIntExact(withLoans.tasksInFlight()),
+                            taken.firstExpiryNanos(team, nowNanos),
+                            own.startsPerSecond(),
+                            Math.toIntExact(own.tasksInFlight())));
         }
         return new QuotaShares(shares);
     }
-
-    private QuotaShares.Share share(TeamId team, long nowNanos) {
-        QuotaAmount own = ownShare(team, nowNanos);
-        QuotaAmount withLoans = own.plus(taken.sum(team, nowNanos));
-        return new QuotaShares.Share(
-                withLoans.startsPerSecond(),
-                Math.toIntExact(withLoans.tasksInFlight()),
-                taken.firstExpiryNanos(team, nowNanos),
-                own.startsPerSecond(),
-                Math.toIntExact(own.tasksInFlight()));
-    }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/internal/LoanBook.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/quota/internal/LoanBook.java
@@ -1,21 +1,37 @@
 package org.banyanspoke.core.quota.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.TeamId;
+import org.banyanspoke.core.quota.LoanRequest;
 import org.banyanspoke.core.quota.QuotaAmount;
 
 /** Loans in one direction with the time at which each lapses. */
 final class LoanBook {
-    /** A loan with one peer. */
-    record Loan(HostId peer, long requestId, long expiresNanos, Map<TeamId, QuotaAmount> amounts) {}
+    /**
+     * A loan with one peer.
+     *
+     * @param requestId the latest request that was granted for it
+     */
+    record Loan(HostId peer, long requestId, long expiresNanos, Map<TeamId, QuotaAmount> amounts) {
+        boolean isSame(HostId otherPeer, long otherRequestId) {
+            return LoanRequest.loanOf(requestId) == LoanRequest.loanOf(otherRequestId) && peer.equals(otherPeer);
+        }
+    }
 
     private final List<Loan> loans = new ArrayList<>();
 
-    void add(Loan loan) {
-        loans.add(loan);
+    /** Adds a loan or extends it. Grants may arrive out of order, so a loan is never shortened. */
+    void put(Loan loan) {
+        Optional<Loan> known = find(loan.peer(), loan.requestId());
+        if (known.isEmpty() || loan.expiresNanos() - known.get().expiresNanos() > 0) {
+            known.ifPresent(loans::remove);
+            loans.add(loan);
+        }
     }
 
     void clear() {
@@ -26,23 +42,24 @@
         loans.removeIf(loan -> nowNanos - loan.expiresNanos() >= 0);
     }
 
-    /** Returns the loan with these keys, or null. */
-    Loan find(HostId peer, long requestId) {
-        for (Loan loan : loans) {
-            if (loan.requestId() == requestId && loan.peer().equals(peer)) {
-                return loan;
-            }
-        }
-        return null;
+    /** Returns the loan that a request began or extends. */
+    Optional<Loan> find(HostId peer, long requestId) {
+        return loans.stream().filter(loan -> loan.isSame(peer, requestId)).findFirst();
+    }
+
+    /** Returns the loans that lapse within a time, the first to lapse first. */
+    List<Loan> lapsingWithin(long nanos, long nowNanos) {
+        return loans.stream()
+                .filter(loan -> loan.expiresNanos() - nowNanos <= nanos)
+                .sorted(Comparator.comparingLong(loan -> loan.expiresNanos() - nowNanos))
+                .toList();
     }
 
-    /** Returns the sum of a team's loans that have not lapsed at a time. */
-    QuotaAmount sum(TeamId team, long atNanos) {
+    /** Returns the sum of a team's loans, also of those that have lapsed and were not dropped. */
+    QuotaAmount sum(TeamId team) {
         QuotaAmount sum = QuotaAmount.NONE;
         for (Loan loan : loans) {
-            if (atNanos - loan.expiresNanos() < 0) {
-                sum = sum.plus(loan.amounts().getOrDefault(team, QuotaAmount.NONE));
-            }
+            sum = sum.plus(loan.amounts().getOrDefault(team, QuotaAmount.NONE));
         }
         return sum;
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/admission/internal/QuotaUseTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/admission/internal/QuotaUseTest.java
@@ -96,5 +96,30 @@
             assertThat(usage.demand(nanos).wantedPerSecond()).isBetween(42.0, 45.0);
             assertThat(usage.demand(nanos).tasksInFlight()).isEqualTo(40);
         }
+
+        /** Guards against a refused job that no loan is asked for, and against loans for one that was admitted or given up. */
+        @Test
+        void refusedJobIsWantedUntilItIsAdmittedOrOld() {
+            TeamUsage usage = usage(new Share(10, 100, Long.MAX_VALUE, 10));
+            usage.onRefused(1_100);
+            usage.onRefused(50);
+            assertThat(usage.demand(nanos).wantedInFlight()).isEqualTo(1_100);
+            usage.onWaiting(1_100);
+            assertThat(usage.demand(nanos).wantedInFlight()).isEqualTo(1_100);
+            usage.onRefused(70);
+            for (int second = 0; second < 7; second++) {
+                nanos += TimeUnit.SECONDS.toNanos(1);
+                usage.rollMeter(nanos);
+            }
+            assertThat(usage.demand(nanos).wantedInFlight()).isEqualTo(1_100);
+        }
+
+        /** Guards against tasks that are admitted on a loan that has lapsed, also when nothing happened in between. */
+        @Test
+        void tasksInFlightOnALoanLapse() {
+            TeamUsage usage = usage(new Share(10, 100, TimeUnit.SECONDS.toNanos(5), 10, 20));
+            assertThat(usage.maxInFlight(TimeUnit.SECONDS.toNanos(4))).isEqualTo(100);
+            assertThat(usage.maxInFlight(TimeUnit.SECONDS.toNanos(6))).isEqualTo(20);
+        }
     }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LoanExchange.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/internal/LoanExchange.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.daemon.control.internal;
 
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
@@ -27,6 +28,9 @@
 
     private static final long REQUEST_TIMEOUT_MILLIS = 1_000;
 
+    /** One for a new loan and one for an extension. */
+    private static final int MAX_REQUESTS = 2;
+
     private final QuotaLending lending;
     private final Swim swim;
     private final PeerLink peers;
@@ -82,8 +86,8 @@
     private Completable borrow(Map<TeamId, TeamDemand> demand) {
         List<HostId> live =
                 swim.table().live().stream().map(member -> member.config().id()).toList();
-        Optional<LoanRequest> request = lending.tick(demand, live);
-        return putInForce().andThen(Maybe.fromOptional(request).flatMapCompletable(this::send));
+        List<LoanRequest> requests = lending.tick(demand, live);
+        return putInForce().andThen(Flowable.fromIterable(requests).flatMapCompletable(this::send, true, MAX_REQUESTS));
     }
 
     private Completable send(LoanRequest request) {
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
@@ -86,7 +86,7 @@
 
         @Override
         public Single<Map<TeamId, TeamDemand>> demand() {
-            return Single.just(Map.of(TEAM, new TeamDemand(Math.min(wanted, 100), wanted, (int) wanted)));
+            return Single.just(Map.of(TEAM, new TeamDemand(Math.min(wanted, 100), wanted, (int) wanted, (int) wanted)));
         }
 
         double startsPerSecond() {
