Report the cost of control in the daemon's metrics

The peer transport counts frames after encoding: all of them as messages, and the bytes of those that carry no callers' jobs as control. Requests to the log and the host list count as control too, with their heads but without TCP/IP headers. Processor time is that of the control thread and the transport's thread; platform requests run on Vert.x threads and are not in it. Heap is an estimate from the numbers of members, configuration entries and remembered tickets with the sizes of docs/CAPACITY.md.

Measured: a forwarded job of 1 MB leaves the control bytes below 100 kB in ControlServiceTest, and messages and processor time rise.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -36,6 +36,7 @@
 import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
 import org.banyanspoke.daemon.platform.HttpServerCheck;
+import org.banyanspoke.daemon.platform.PlatformTraffic;
 import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.peer.FrameFilter;
@@ -57,6 +58,7 @@
     private final byte[] jobIdKey = new byte[JOB_ID_KEY_BYTES];
     private final MonotonicClock clock = System::nanoTime;
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    private final PlatformTraffic platformTraffic = new PlatformTraffic();
     private final Kernel kernel = new Kernel();
     private final int callerLoops =
             Math.max(1, Math.min(MAX_CALLER_LOOPS, Runtime.getRuntime().availableProcessors() - 1));
@@ -79,6 +81,7 @@
                 new Incarnation(secureRandom.nextLong()));
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
         this.control = createControl();
+        metrics.addCounters(() -> control.load().counters(platformTraffic));
         this.gate = new HostGate(control::readiness);
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
         this.drain =
@@ -147,8 +150,8 @@
                 settings.peer().seeds().stream().map(Object::toString).toList());
         return new ControlService(
                 controlSettings,
-                new HttpLogClient(rxVertx, settings.logAddress().toString()),
-                new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new HttpLogClient(rxVertx, settings.logAddress().toString(), platformTraffic),
+                new HttpHostListClient(rxVertx, settings.hostListAddress().toString(), platformTraffic),
                 new HttpServerCheck(rxVertx),
                 new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
                 clock,
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/control/ControlService.java
@@ -7,6 +7,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +34,7 @@
 import org.banyanspoke.daemon.control.internal.ConfigHolder;
 import org.banyanspoke.daemon.control.internal.ConfigSpread;
 import org.banyanspoke.daemon.control.internal.Confirmation;
+import org.banyanspoke.daemon.control.internal.ControlHeap;
 import org.banyanspoke.daemon.control.internal.HostListWatch;
 import org.banyanspoke.daemon.control.internal.JobForwards;
 import org.banyanspoke.daemon.control.internal.LeavingNews;
@@ -114,6 +116,8 @@
     private final CompositeDisposable tasks = new CompositeDisposable();
     private volatile Readiness readiness = Readiness.notReady("the configuration has not been read yet");
     private volatile List<MemberView> members = List.of();
+    private volatile Thread thread;
+    private volatile long heapBytes;
     private ConfigState inForce = ConfigState.EMPTY;
 
     /**
@@ -136,7 +140,7 @@
         this.settings = settings;
         this.transport = transport;
         this.random = random;
-        this.executor = Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+        this.executor = Executors.newSingleThreadScheduledExecutor(task -> thread = new Thread(task, "control"));
         this.controlThread = Schedulers.from(executor);
         this.config = new ConfigHolder(new ConfigTracker(REMEMBERED_TICKETS));
         this.confirmation = new Confirmation(clock, config);
@@ -190,6 +194,19 @@
         }
     }
 
+    /** Returns what control costs this host. May be called from any thread. */
+    public ControlLoad load() {
+        Thread control = thread;
+        long cpuNanos = cpuNanos(transport.threadId()) + (control == null ? 0 : cpuNanos(control.getId()));
+        return new ControlLoad(cpuNanos, heapBytes, transport.traffic());
+    }
+
+    private static long cpuNanos(long threadId) {
+        return threadId == 0
+                ? 0
+                : Math.max(0, ManagementFactory.getThreadMXBean().getThreadCpuTime(threadId));
+    }
+
     /** Sets the dispatch service that handles forwarded requests and enforces quota shares. */
     public void attach(LocalDispatch dispatch) {
         forwards.attach(dispatch);
@@ -304,6 +321,8 @@
     private void eachSecond() {
         members = MemberViews.of(
                 settings, swim.table().self(), config.state(), swim.table().members());
+        int tickets = config.tracker().latestTickets(REMEMBERED_TICKETS).size();
+        heapBytes = ControlHeap.estimate(config.state(), members.size(), tickets);
         archives.tick();
         loans.tick();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
@@ -5,9 +5,12 @@
 import com.codahale.metrics.Snapshot;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.errors.ErrorKind;
 import org.banyanspoke.api.ids.JobId;
@@ -32,6 +35,7 @@
     private final MetricRegistry registry;
     private final MonotonicClock clock;
     private final Map<UrgencyClass, Timings> classes = new EnumMap<>(UrgencyClass.class);
+    private final List<Supplier<Map<String, Long>>> sources = new CopyOnWriteArrayList<>();
     /** Dispatch thread only. */
     private final Map<TeamId, Timings> teams = new HashMap<>();
 
@@ -91,10 +95,16 @@
         registry.counter("http.errors." + kind).inc();
     }
 
+    /** Adds counters that are kept elsewhere and read for each report, on the thread that asks for it. Thread safe. */
+    public void addCounters(Supplier<Map<String, Long>> source) {
+        sources.add(source);
+    }
+
     /** Returns all metrics. Thread safe. */
     public Report report() {
         Map<String, Long> counters = new TreeMap<>();
         registry.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
+        sources.forEach(source -> counters.putAll(source.get()));
         Map<String, Quantiles> histograms = new TreeMap<>();
         registry.getHistograms().forEach((name, histogram) -> histograms.put(name, Quantiles.of(histogram)));
         return new Report("ms", WindowReservoir.WINDOW_NANOS / 1_000_000_000L, counters, histograms);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/HttpHostListClient.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/HttpHostListClient.java
@@ -23,9 +23,10 @@
     /**
      * @param vertx runs the requests
      * @param address {@code ip:port} of the host list
+     * @param traffic counts the bytes
      */
-    public HttpHostListClient(Vertx vertx, String address) {
-        this.http = new PlatformHttp(vertx, address, TIMEOUT_MILLIS);
+    public HttpHostListClient(Vertx vertx, String address, PlatformTraffic traffic) {
+        this.http = new PlatformHttp(vertx, address, traffic, TIMEOUT_MILLIS);
     }
 
     @Override
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/HttpLogClient.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/HttpLogClient.java
@@ -17,9 +17,10 @@
     /**
      * @param vertx runs the requests
      * @param address {@code ip:port} of the log
+     * @param traffic counts the bytes
      */
-    public HttpLogClient(Vertx vertx, String address) {
-        this.http = new PlatformHttp(vertx, address, TIMEOUT_MILLIS);
+    public HttpLogClient(Vertx vertx, String address, PlatformTraffic traffic) {
+        this.http = new PlatformHttp(vertx, address, traffic, TIMEOUT_MILLIS);
     }
 
     @Override
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/internal/PlatformHttp.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/platform/internal/PlatformHttp.java
@@ -1,6 +1,8 @@
 package org.banyanspoke.daemon.platform.internal;
 
+import com.google.common.base.Utf8;
 import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -10,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.banyanspoke.daemon.platform.PlatformException;
+import org.banyanspoke.daemon.platform.PlatformTraffic;
 
 /**
  * Requests to one service of the platform. Reads share connections, which saves the six packets of a connection's start and
@@ -19,21 +22,33 @@
 public final class PlatformHttp {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** Method or status, version, separators, and the empty line after the headers. */
+    private static final int FIRST_LINE_BYTES = 17;
+
+    private static final int HEADER_SEPARATOR_BYTES = 4;
+
     private final HttpClient reads;
     private final HttpClient writes;
     private final String host;
     private final int port;
+    /** The client adds this header later than the others. */
+    private final int hostHeaderBytes;
+
+    private final PlatformTraffic traffic;
     private final long timeoutMillis;
 
     /**
      * @param vertx runs the requests
      * @param address {@code ip:port} of the service
+     * @param traffic counts the bytes
      * @param timeoutMillis longest time from the connection to the whole response
      */
-    public PlatformHttp(Vertx vertx, String address, long timeoutMillis) {
+    public PlatformHttp(Vertx vertx, String address, PlatformTraffic traffic, long timeoutMillis) {
         int colon = address.lastIndexOf(':');
         this.host = address.substring(0, colon);
         this.port = Integer.parseInt(address.substring(colon + 1));
+        this.hostHeaderBytes = "host".length() + address.length() + HEADER_SEPARATOR_BYTES;
+        this.traffic = traffic;
         this.timeoutMillis = timeoutMillis;
         this.reads = client(vertx, true);
         this.writes = client(vertx, false);
@@ -74,8 +89,13 @@
     }
 
     private Single<HttpReply> send(HttpClientRequest request, String target, String body) {
+        traffic.onSent(headBytes(request.getURI(), request.headers())
+                + hostHeaderBytes
+                + (body == null ? 0 : Utf8.encodedLength(body)));
         Single<HttpReply> reply = (body == null ? request.rxSend() : request.rxSend(body))
                 .flatMap(response -> response.rxBody()
+                        .doOnSuccess(content -> traffic.onReceived(
+                                headBytes(response.statusMessage(), response.headers()) + content.length()))
                         .map(content -> new HttpReply(
                                 target,
                                 response.statusCode(),
@@ -86,4 +106,13 @@
                 .doOnError(e -> request.reset())
                 .onErrorResumeNext(e -> Single.error(new PlatformException(target + ": no response", true, e)));
     }
+
+    /** Returns the size of a request line or status line with one variable part, and of the headers. */
+    private static long headBytes(String variablePart, MultiMap headers) {
+        long bytes = FIRST_LINE_BYTES + variablePart.length();
+        for (Map.Entry<String, String> header : headers.entries()) {
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
+        }
+        return bytes;
+    }
 }
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/ControlServiceTest.java
@@ -404,6 +404,34 @@
         }
     }
 
+    @Nested
+    class Load {
+        /** Guards against figures that stand still, and against callers' jobs that count as control. */
+        @Test
+        void controlIsCountedAndForwardedJobsAreNot() throws Exception {
+            cluster.startWithRoster();
+            cluster.host("h2").attach(new StubDispatch(0));
+            Thread.sleep(2_000);
+            ControlLoad before = cluster.host("h1").load();
+            assertThat(before.cpuNanos()).isPositive();
+            assertThat(before.heapBytes()).isGreaterThan(3 * 200);
+            assertThat(before.peers().messagesSent()).isPositive();
+            int bodyBytes = 1_000_000;
+            ForwardRequest request = submission(job("h2", cluster.incarnation("h2"), 1), "x".repeat(bodyBytes));
+            ForwardReply reply = cluster.host("h1").forward(request, 10_000).blockingGet();
+            assertThat(reply.body()).hasSize(bodyBytes);
+            Thread.sleep(1_500);
+            ControlLoad after = cluster.host("h1").load();
+            assertThat(after.peers().messagesSent())
+                    .isGreaterThan(before.peers().messagesSent());
+            assertThat(after.cpuNanos()).isGreaterThan(before.cpuNanos());
+            assertThat(after.peers().controlBytesSent() - before.peers().controlBytesSent())
+                    .isBetween(1L, bodyBytes / 10L);
+            assertThat(after.peers().controlBytesReceived() - before.peers().controlBytesReceived())
+                    .isBetween(1L, bodyBytes / 10L);
+        }
+    }
+
     @Nested
     class Loans {
         /** Guards against unused quota of one host being out of reach of another that lacks it. */
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -26,6 +26,7 @@
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.peer.generated.Frame;
 import org.banyanspoke.peer.internal.AcceptedConnection;
+import org.banyanspoke.peer.internal.FrameCounter;
 import org.banyanspoke.peer.internal.FramePipeline;
 import org.banyanspoke.peer.internal.OpenedConnection;
 
@@ -42,7 +43,9 @@
     private final Map<Frame.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
     private final Map<String, OpenedConnection> connections = new ConcurrentHashMap<>();
     private final AtomicLong lastRequestId = new AtomicLong();
+    private final FrameCounter counter = new FrameCounter();
     private final EventLoopGroup eventLoop;
+    private volatile long threadId;
     private volatile PeerIdentity self;
     private Channel listener;
     private Future<?> checks;
@@ -81,7 +84,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        FramePipeline.init(channel, limits, acceptedConnection());
+                        FramePipeline.init(channel, limits, counter, acceptedConnection());
                     }
                 });
         var bound = bootstrap.bind(parse(address)).await();
@@ -89,6 +92,7 @@
             throw new IOException("peer address " + address + " cannot be bound", bound.cause());
         }
         listener = bound.channel();
+        eventLoop.execute(() -> threadId = Thread.currentThread().getId());
         long checkMillis = Math.max(1, limits.silenceMillis() / 2);
         checks = eventLoop.scheduleAtFixedRate(this::checkConnections, checkMillis, checkMillis, TimeUnit.MILLISECONDS);
         InetSocketAddress local = (InetSocketAddress) listener.localAddress();
@@ -131,6 +135,16 @@
         eventLoop.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
     }
 
+    /** Returns what this transport has carried. */
+    public PeerTraffic traffic() {
+        return counter.traffic();
+    }
+
+    /** Returns the id of the thread that does this transport's work; 0 just after the start. */
+    public long threadId() {
+        return threadId;
+    }
+
     /** Returns how many connections this process has opened and not closed. */
     public int openConnections() {
         return connections.size();
@@ -158,7 +172,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        FramePipeline.init(channel, limits, connection);
+                        FramePipeline.init(channel, limits, counter, connection);
                     }
                 });
         connection.open(bootstrap, parse(address), eventLoop);
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FramePipeline.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FramePipeline.java
@@ -9,19 +9,21 @@
 import org.banyanspoke.peer.TransportLimits;
 import org.banyanspoke.peer.generated.Frame;
 
-/** Handlers of every connection: 4-byte length prefix, protobuf, then the connection itself. */
+/** Handlers of every connection: 4-byte length prefix, protobuf, counts, then the connection itself. */
 public final class FramePipeline {
-    private static final int PREFIX_BYTES = 4;
+    static final int PREFIX_BYTES = 4;
 
     private FramePipeline() {}
 
     /** Adds the handlers. A frame above the limit makes the decoder throw, and the connection closes. */
-    public static void init(SocketChannel channel, TransportLimits limits, ChannelHandler connection) {
+    public static void init(
+            SocketChannel channel, TransportLimits limits, FrameCounter counter, ChannelHandler connection) {
         channel.pipeline()
                 .addLast(new LengthFieldBasedFrameDecoder(limits.maxFrameBytes(), 0, PREFIX_BYTES, 0, PREFIX_BYTES))
                 .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
                 .addLast(new LengthFieldPrepender(PREFIX_BYTES))
                 .addLast(new ProtobufEncoder())
+                .addLast(counter)
                 .addLast(connection);
     }
 }
