--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/FakeLog.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/control/FakeLog.java
@@ -11,9 +11,9 @@
 import org.banyanspoke.daemon.platform.RecordsExpiredException;
 
 /** A log in memory with the faults of the platform's log. */
-final class FakeLog implements LogClient {
+public final class FakeLog implements LogClient {
     /** What happens to an append. */
-    enum AppendFault {
+    public enum AppendFault {
         NONE,
         /** The record is stored and the response is lost. */
         RESPONSE_LOST,
@@ -36,7 +36,7 @@
         readable = isReadable;
     }
 
-    synchronized void failAppends(AppendFault kind, int times) {
+    public synchronized void failAppends(AppendFault kind, int times) {
         fault = kind;
         faultsLeft = times;
     }
