Drop stop requests that would wait behind task requests

Cause: a stop waited for a free connection to its server. With a frozen server stops piled up without bound, and each one took the next connection from the tasks that waited for it.

Ruled out: a connection of its own for stops; a server accepts 64 connections and 8 hosts have 8 each.

Change: a stop goes to an idle connection or to a new one within the limit, else it is dropped, since the lease ends the task. A closed client opens no connections for what waits; the tests logged 'Client is closed' from there. Ejections and returns of servers were reported already (EjectionWatch, log and metrics); a test now shows it.

Measured: BackendClientTest.isDroppedWhenEveryConnectionIsBusy found DELETE requests before and none now; the tests of the dispatcher and of the backend client pass.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherFixture.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherFixture.java
@@ -83,6 +83,9 @@
     /** Names of the methods that the dispatcher called on its pool. */
     final List<String> poolCalls = new ArrayList<>();
 
+    /** Ejections and returns of servers that the dispatcher reported. */
+    final List<String> ejections = new ArrayList<>();
+
     final TaskTransport recordingTransport;
     final Dispatcher dispatcher;
     long nanos = 1_000;
@@ -106,10 +109,19 @@
                                 ? Dispatchers.baselinePool(RandomSource.SPLIT_MIX_64.create(7L))
                                 : ServerPools.adaptive(HOST, () -> nanos, RandomSource.SPLIT_MIX_64.create(7L))),
                 fault.wrap(recordingTransport),
-                DispatchEvents.NONE,
+                recordingEvents(),
                 DispatcherSettings.DEFAULT);
     }
 
+    private DispatchEvents recordingEvents() {
+        return new DispatchEvents() {
+            @Override
+            public void ejection(ServerId server, boolean ejected) {
+                ejections.add(server + (ejected ? " ejected" : " returned"));
+            }
+        };
+    }
+
     private ServerPool recording(ServerPool pool) {
         return (ServerPool) Proxy.newProxyInstance(
                 ServerPool.class.getClassLoader(), new Class<?>[] {ServerPool.class}, (proxy, method, args) -> {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/dispatch/DispatcherTest.java
@@ -218,6 +218,24 @@
 
     @Nested
     class ServerHealth {
+        /** Guards against ejections and returns that neither the log nor the metrics show. */
+        @Test
+        void ejectionAndReturnAreReported() throws Exception {
+            DispatcherFixture adaptive =
+                    new DispatcherFixture(DispatcherFixture.Policy.ADAPTIVE, Fault.NONE, attempt -> {});
+            adaptive.configure(DispatcherFixture.START.plusSeconds(3_600), DispatcherFixture.S1);
+            adaptive.setQuota(1_000, 2_000);
+            for (int i = 0; i < 3; i++) {
+                adaptive.submit(adaptive.reserve(), DispatcherFixture.job(1, true));
+            }
+            adaptive.transport.answerAll(Outcome.FAILED);
+            adaptive.advanceMillis(300);
+            assertThat(adaptive.ejections).containsExactly("s1 ejected");
+            adaptive.advanceMillis(5_000);
+            adaptive.advanceMillis(300);
+            assertThat(adaptive.ejections).containsExactly("s1 ejected", "s1 returned");
+        }
+
         /** Guards against healthy servers that are set aside after a wave of cancellations. */
         @Test
         void stoppedTaskIsNoFailure() throws Exception {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
@@ -51,7 +51,6 @@
     private final List<ServerConnection> open = new ArrayList<>();
     private final Deque<ServerConnection> idle = new ArrayDeque<>();
     private final Deque<Attempt> waiting = new ArrayDeque<>();
-    private final Deque<Attempt> stops = new ArrayDeque<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<ServerConnection, Long> healthDeadlinesNanos = new HashMap<>();
     private int opening;
@@ -93,8 +92,31 @@
             dispatchThread.runOnContext(unused -> end(attempt, ServerReply.notWritten("stopped before it was sent")));
             return;
         }
-        stops.add(attempt);
-        serve();
+        stopRunning(attempt);
+    }
+
+    /**
+     * Sends a stop on a free connection, or on a new one within the limit. Otherwise the stop is dropped: behind task requests
+     * it would come too late, and the lease ends the task anyway.
+     */
+    private void stopRunning(Attempt attempt) {
+        ServerConnection connection = takeIdle();
+        if (connection != null) {
+            sendStop(connection, attempt);
+        } else if (!retired && open.size() + opening < MAX_CONNECTIONS) {
+            openForStop(attempt);
+        }
+    }
+
+    private void openForStop(Attempt attempt) {
+        opening++;
+        client.connect(target).onComplete(result -> {
+            opening--;
+            if (result.succeeded()) {
+                sendStop(adopt(result.result()), attempt);
+            }
+            serve();
+        });
     }
 
     /** Ends overdue attempts and health requests and looks for silent connections. */
@@ -125,24 +147,21 @@
         return attempts.isEmpty() && open.isEmpty() && opening == 0;
     }
 
-    /** Closes all connections. Sent attempts end as {@code UNKNOWN}. */
+    /** Closes all connections and opens none for what waits. Sent attempts end as {@code UNKNOWN}. */
     void close() {
         retired = true;
+        waiting.clear();
         List.copyOf(open).forEach(connection -> connection.close("the process stops"));
     }
 
     private void serve() {
-        while (!stops.isEmpty() || !waiting.isEmpty()) {
+        while (!waiting.isEmpty()) {
             ServerConnection connection = takeIdle();
             if (connection == null) {
                 openIfNeeded();
                 return;
             }
-            if (stops.isEmpty()) {
-                sendTask(connection, waiting.poll());
-            } else {
-                sendStop(connection, stops.poll());
-            }
+            sendTask(connection, waiting.poll());
         }
     }
 
@@ -227,8 +246,7 @@
     }
 
     private void openIfNeeded() {
-        int wanted = waiting.size() + stops.size();
-        while (opening < wanted && open.size() + opening < MAX_CONNECTIONS) {
+        while (opening < waiting.size() && open.size() + opening < MAX_CONNECTIONS) {
             open(connection -> {
                 idle.push(connection);
                 serve();
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/backend/BackendClientTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/backend/BackendClientTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -288,5 +289,26 @@
             }
             assertThat(running).isNotDone();
         }
+
+        /** Guards against stops that pile up behind task requests and take connections from later tasks. */
+        @Test
+        void isDroppedWhenEveryConnectionIsBusy() throws Exception {
+            List<HttpServerRequest> open = new CopyOnWriteArrayList<>();
+            backend.onTask = open::add;
+            List<TaskAttempt> attempts = new ArrayList<>();
+            for (int i = 0; i < ServerConnections.MAX_CONNECTIONS; i++) {
+                attempts.add(attempt(LONG_LEASE_MILLIS));
+                var unused = start(attempts.get(i));
+            }
+            while (open.size() < ServerConnections.MAX_CONNECTIONS) {
+                Thread.sleep(5);
+            }
+            attempts.forEach(attempt -> context.runOnContext(unused -> client.stop(attempt)));
+            CompletableFuture<AttemptResult> next = start(LONG_LEASE_MILLIS);
+            backend.onTask = FakeBackend::done;
+            open.forEach(FakeBackend::done);
+            assertThat(await(next).outcome()).isEqualTo(Outcome.DONE);
+            assertThat(backend.requests).noneMatch(line -> line.startsWith("DELETE"));
+        }
     }
 }
