Check settings files with the command-line tool and show members with the status

Cause: only the daemon could check its settings, and the tool may not depend on the daemon. 'show status' did not tell that members are suspect, dead or drained.

Change: the settings, their reader and rules are a module of their own, banyanspoke-settings, which depends on the API only; the architecture test says so. 'settings check FILE' reports every fault with path, value and what is allowed, exit code 2. 'show status' ends with a line such as 'members: 1 live, 1 drained (h2), 2 suspect (h3, h4)'; its JSON is unchanged.

The buffer of a body has its declared size from the start.

--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/CommandLine.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/CommandLine.java
@@ -17,6 +17,7 @@
 import org.banyanspoke.cli.commands.AdminCommands;
 import org.banyanspoke.cli.commands.Command;
 import org.banyanspoke.cli.commands.JobCommands;
+import org.banyanspoke.cli.commands.SettingsCommands;
 import org.banyanspoke.client.ConnectionFailedException;
 
 /** Parses arguments and runs one subcommand. */
@@ -72,12 +73,14 @@
         ArgumentParser parser = ArgumentParsers.newFor("banyanspoke")
                 .build()
                 .defaultHelp(true)
-                .description("Drives a banyanspoke dispatcher. Exit codes: 0 success, 1 the job failed or its outcome"
-                        + " is unknown, 2 usage, 3 refused and not run, 4 no entry host answers.");
+                .description(
+                        "Drives a banyanspoke dispatcher. Exit codes: 0 success, 1 the job failed or its outcome"
+                                + " is unknown, 2 the command line or an input file is not valid, 3 refused and not run, 4 no entry host answers.");
         parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON value for programs");
         Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
         new JobCommands(connection, input).register(commands);
         new AdminCommands(connection, input).register(commands);
+        new SettingsCommands(input).register(commands);
         return parser;
     }
 }
--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/InputFile.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/InputFile.java
@@ -24,16 +24,26 @@
      */
     public <T> T read(String name, Class<T> type) throws UsageException {
         try {
-            String text = name.equals("-")
-                    ? new String(standardInput.readAllBytes(), StandardCharsets.UTF_8)
-                    : Files.readString(Path.of(name));
-            return Json.mapperWithComments().readValue(text, type);
+            return Json.mapperWithComments().readValue(text(name), type);
         } catch (JsonProcessingException e) {
             String where = e.getLocation() == null
                     ? ""
                     : " at line " + e.getLocation().getLineNr() + ", column "
                             + e.getLocation().getColumnNr();
             throw new UsageException("\"" + name + "\" is not valid" + where + ": " + e.getOriginalMessage());
+        }
+    }
+
+    /**
+     * Reads the text of a file.
+     *
+     * @throws UsageException if it cannot be read
+     */
+    public String text(String name) throws UsageException {
+        try {
+            return name.equals("-")
+                    ? new String(standardInput.readAllBytes(), StandardCharsets.UTF_8)
+                    : Files.readString(Path.of(name));
         } catch (IOException e) {
             throw new UsageException("\"" + name + "\" cannot be read: " + e.getMessage());
         }
--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/Output.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/Output.java
@@ -40,6 +40,11 @@
         result(node, node.isArray() ? table(node) : lines(node));
     }
 
+    /** Prints a JSON document; people get a line of text after it. */
+    public void document(JsonNode node, String line) {
+        result(node, lines(node) + System.lineSeparator() + line);
+    }
+
     /** Prints progress to the error stream; nothing with {@code --json}. */
     public void progress(String text) {
         if (!json) {
--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/AdminCommands.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/AdminCommands.java
@@ -97,7 +97,19 @@
 
     private ExitCode show(Namespace arguments, Output output)
             throws UsageException, DispatchException, ConnectionFailedException {
-        return get(arguments.getString("resource"), arguments, output);
+        String resource = arguments.getString("resource");
+        return resource.equals("status") ? showStatus(arguments, output) : get(resource, arguments, output);
+    }
+
+    /** Shows the members with the status, because a host that is suspect, dead or drained serves no callers. */
+    private ExitCode showStatus(Namespace arguments, Output output)
+            throws UsageException, DispatchException, ConnectionFailedException {
+        try (EntryHosts hosts = connection.open(arguments)) {
+            Administration administration = new Administration(hosts);
+            JsonNode status = administration.get("status");
+            output.document(status, "members: " + MemberSummary.of(administration.get("members")));
+            return ExitCode.SUCCESS;
+        }
     }
 
     private ExitCode get(String resource, Namespace arguments, Output output)
--- /dev/null
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/SettingsCommands.java
@@ -0,0 +1,48 @@
+package org.banyanspoke.cli.commands;
+
+import java.util.Map;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.banyanspoke.cli.ExitCode;
+import org.banyanspoke.cli.InputFile;
+import org.banyanspoke.cli.Output;
+import org.banyanspoke.cli.UsageException;
+import org.banyanspoke.settings.SettingsException;
+import org.banyanspoke.settings.SettingsReader;
+
+/** Subcommands for settings files: {@code settings check}. They use no entry host. */
+public final class SettingsCommands {
+    private final InputFile input;
+
+    /** Creates the subcommands. */
+    public SettingsCommands(InputFile input) {
+        this.input = input;
+    }
+
+    /** Adds the subcommands to a parser. */
+    public void register(Subparsers parsers) {
+        Subparsers settings = parsers.addParser("settings")
+                .help("check settings files of the daemon")
+                .addSubparsers()
+                .title("subcommands")
+                .metavar("SUBCOMMAND");
+        String help = "check a settings file as the daemon does and report every fault; exit code 2 if there is one";
+        Command check = this::check;
+        Subparser parser =
+                settings.addParser("check").help(help).description(help).setDefault("command", check);
+        parser.addArgument("file").metavar("FILE").help("settings as JSON with comments, or - for standard input");
+    }
+
+    private ExitCode check(Namespace arguments, Output output) throws UsageException {
+        String file = arguments.getString("file");
+        try {
+            var unused = new SettingsReader().parse(input.text(file));
+        } catch (SettingsException e) {
+            output.error(e.faults(), "\"" + file + "\": " + e.getMessage());
+            return ExitCode.USAGE;
+        }
+        output.result(Map.of("valid", true), "\"" + file + "\" is valid");
+        return ExitCode.SUCCESS;
+    }
+}
--- a/banyanspoke-cli/src/test/java/org/banyanspoke/cli/CommandLineTest.java
+++ b/banyanspoke-cli/src/test/java/org/banyanspoke/cli/CommandLineTest.java
@@ -11,6 +11,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class CommandLineTest {
     private static final String ID = "h1~127.0.0.1:1~0000000000000001~0~1~0000000000000002";
@@ -139,6 +142,61 @@
         }
     }
 
+    @Nested
+    class SettingsFiles {
+        @TempDir
+        private Path directory;
+
+        private String file(String text) throws IOException {
+            return Files.writeString(directory.resolve("settings.json"), text).toString();
+        }
+
+        /** Guards against one start of the daemon for each fault, and against rules other than the daemon's. */
+        @Test
+        void everyFaultIsReportedAtOnce() throws IOException {
+            String faulty = file("{\"host\": {\"id\": \"h 1\"}, \"callers\": {\"address\": \"localhost:1\"}}");
+            assertThat(run("settings", "check", faulty)).isEqualTo(ExitCode.USAGE);
+            assertThat(err())
+                    .contains("host.id: found \"h 1\", allowed: 1 to 63 letters")
+                    .contains("host.zone: found absent")
+                    .contains("callers.address: found \"localhost:1\", allowed: an IPv4 address");
+            assertThat(run("--json", "settings", "check", faulty)).isEqualTo(ExitCode.USAGE);
+            assertThat(out()).startsWith("{\"error\":[{\"path\":\"host.id\",\"value\":");
+            assertThat(run("settings", "check", "missing.json")).isEqualTo(ExitCode.USAGE);
+        }
+
+        /** Guards against an example in docs/api.md that the check does not accept. */
+        @Test
+        void theExampleOfThePageIsValid() throws IOException {
+            String page = Files.readString(Path.of("..", "docs", "api.md"));
+            String section = page.substring(page.indexOf("## Settings of the daemon"));
+            String example = section.split("```", -1)[1].replace("<hex>", "0".repeat(64));
+            assertThat(run("settings", "check", file(example))).isEqualTo(ExitCode.SUCCESS);
+            assertThat(out()).contains("is valid");
+            assertThat(requests).isEmpty();
+        }
+    }
+
+    @Nested
+    class Status {
+        /** Guards against a status that hides that hosts are suspect, dead or drained. */
+        @Test
+        void namesMembersThatAreNotLive() {
+            answers.put("GET /v1/admin/status", "200 {\"host\":\"h1\",\"ready\":true,\"draining\":false}");
+            answers.put(
+                    "GET /v1/admin/members",
+                    "200 [{\"host\":\"h1\",\"liveness\":\"live\"},{\"host\":\"h2\",\"liveness\":\"left\"},"
+                            + "{\"host\":\"h3\",\"liveness\":\"suspect\"},{\"host\":\"h4\",\"liveness\":\"suspect\"}]");
+            assertThat(run("show", "status", "--host", address)).isEqualTo(ExitCode.SUCCESS);
+            assertThat(out().lines())
+                    .containsExactly(
+                            "host: h1",
+                            "ready: true",
+                            "draining: false",
+                            "members: 1 live, 1 drained (h2), 2 suspect (h3, h4)");
+        }
+    }
+
     @Nested
     class Tables {
         /** Guards against columns that do not line up when rows have different fields. */
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -36,11 +36,11 @@
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
 import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
-import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.peer.FrameFilter;
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.TransportLimits;
+import org.banyanspoke.settings.Settings;
 import org.jboss.logging.Logger;
 
 /** One entry host process: creates and registers the services, starts them and waits for the planned stop. */
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Main.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Main.java
@@ -9,9 +9,9 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.banyanspoke.daemon.logging.Logging;
-import org.banyanspoke.daemon.settings.Settings;
-import org.banyanspoke.daemon.settings.SettingsException;
-import org.banyanspoke.daemon.settings.SettingsReader;
+import org.banyanspoke.settings.Settings;
+import org.banyanspoke.settings.SettingsException;
+import org.banyanspoke.settings.SettingsReader;
 
 /** Entry point of the daemon. Exit codes are in {@link ExitCode}. */
 public final class Main {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/BodyReader.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/BodyReader.java
@@ -44,7 +44,7 @@
                 timeoutMillis,
                 unused -> promise.tryFail(new DispatchException(
                         ErrorKind.REQUEST_TIMEOUT, "the body did not arrive within " + timeoutMillis + " ms")));
-        Buffer body = Buffer.buffer();
+        Buffer body = Buffer.buffer((int) declaredBytes);
         request.handler(chunk -> append(body, chunk, declaredBytes, share, promise));
         request.endHandler(unused -> promise.tryComplete(body.getBytes()));
         request.exceptionHandler(e -> promise.tryFail(
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -14,9 +14,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.banyanspoke.api.errors.ErrorKind;
-import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.kernel.Service;
+import org.banyanspoke.settings.Settings;
 
 /** One listening port with its own router. */
 public final class HttpService implements Service {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpServices.java
@@ -6,8 +6,8 @@
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.LocalJobs;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
-import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.ServiceName;
+import org.banyanspoke.settings.Settings;
 
 /** Creates the two HTTP services. Each has its own router, so no operator route exists on the callers' port. */
 public final class HttpServices {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
@@ -1,7 +1,7 @@
 package org.banyanspoke.daemon.logging;
 
 import java.util.Map;
-import org.banyanspoke.daemon.settings.Settings;
+import org.banyanspoke.settings.Settings;
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.Logger;
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -48,8 +48,8 @@
 import org.banyanspoke.daemon.jobs.DispatchService;
 import org.banyanspoke.daemon.jobs.DispatchThread;
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
-import org.banyanspoke.daemon.settings.Settings;
 import org.banyanspoke.kernel.Kernel;
+import org.banyanspoke.settings.Settings;
 import org.jboss.logging.Logger;
 
 /** The daemon's services in the test process: both HTTP ports, a real dispatcher and backend client, a stub control plane. */
--- a/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/ArchitectureTest.java
+++ b/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/ArchitectureTest.java
@@ -34,12 +34,30 @@
     class DirectionOfDependency {
         @Test
         void apiDependsOnNoOtherModule() {
-            noDependency("api", "core", "kernel", "peer", "daemon", "client", "cli", "standins", "bench", "scenarios");
+            noDependency(
+                    "api",
+                    "settings",
+                    "core",
+                    "kernel",
+                    "peer",
+                    "daemon",
+                    "client",
+                    "cli",
+                    "standins",
+                    "bench",
+                    "scenarios");
+        }
+
+        @Test
+        void settingsDependOnTheApiOnly() {
+            noDependency(
+                    "settings", "core", "kernel", "peer", "daemon", "client", "cli", "standins", "bench", "scenarios");
         }
 
         @Test
         void coreDependsOnTheApiOnly() {
-            noDependency("core", "kernel", "peer", "daemon", "client", "cli", "standins", "bench", "scenarios");
+            noDependency(
+                    "core", "settings", "kernel", "peer", "daemon", "client", "cli", "standins", "bench", "scenarios");
         }
 
         @Test
@@ -50,8 +68,10 @@
         @Test
         void toolsDoNotKnowTheDaemon() {
             noDependency("cli", "core", "kernel", "peer", "daemon", "standins", "bench", "scenarios");
-            noDependency("client", "core", "kernel", "peer", "daemon", "cli", "standins", "bench", "scenarios");
-            noDependency("standins", "core", "kernel", "peer", "daemon", "client", "cli", "bench", "scenarios");
+            noDependency(
+                    "client", "settings", "core", "kernel", "peer", "daemon", "cli", "standins", "bench", "scenarios");
+            noDependency(
+                    "standins", "settings", "core", "kernel", "peer", "daemon", "client", "cli", "bench", "scenarios");
         }
     }
 
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/Settings.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/Settings.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 import com.google.common.net.HostAndPort;
 import java.util.List;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsException.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 import java.util.List;
 import java.util.stream.Collectors;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsFault.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/SettingsFault.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 /**
  * One fault in the settings.
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsReader.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -26,10 +26,12 @@
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
     private static final long DEFAULT_BODY_TIMEOUT_MILLIS = 10_000;
     private static final long MAX_BODY_TIMEOUT_MILLIS = 600_000;
-    /** One caller may hold half of the room, so less than two bodies would close the port to the largest one. */
+    /**
+     * One caller may hold half of the room, so less than two bodies would close the port to the largest one. A body takes up to
+     * three times its size while it is read, so two of 32 MiB fit a heap of 256 MB.
+     */
     private static final int MIN_HELD_BODIES = 2;
 
-    private static final int DEFAULT_HELD_BODIES = 8;
     private static final long MAX_HELD_BYTES = 64L * 1024 * 1024 * 1024;
     private static final long DEFAULT_HEAD_TIMEOUT_MILLIS = 10_000;
     /** Longer than the 60 s after which balancers usually close idle connections, so that they close first. */
@@ -112,7 +114,7 @@
         long timeoutMillis =
                 section.integer("bodyTimeoutMillis", DEFAULT_BODY_TIMEOUT_MILLIS, 1, MAX_BODY_TIMEOUT_MILLIS);
         long heldBytes = section.integer(
-                "maxHeldBodyBytes", DEFAULT_HELD_BODIES * maxBodyBytes, MIN_HELD_BODIES * maxBodyBytes, MAX_HELD_BYTES);
+                "maxHeldBodyBytes", MIN_HELD_BODIES * maxBodyBytes, MIN_HELD_BODIES * maxBodyBytes, MAX_HELD_BYTES);
         long headMillis = section.integer("headTimeoutMillis", DEFAULT_HEAD_TIMEOUT_MILLIS, 1, MAX_BODY_TIMEOUT_MILLIS);
         long idleMillis = section.integer("idleTimeoutMillis", DEFAULT_IDLE_TIMEOUT_MILLIS, 1, MAX_IDLE_TIMEOUT_MILLIS);
         section.rejectUnknown();
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/SettingsSection.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/SettingsSection.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.net.HostAndPort;
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/settings/package-info.java
+++ b/banyanspoke-settings/src/main/java/org/banyanspoke/settings/package-info.java
@@ -1,2 +1,2 @@
 /** Settings of the daemon: reading, checking and reporting every fault at once. */
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/settings/SettingsReaderTest.java
+++ b/banyanspoke-settings/src/test/java/org/banyanspoke/settings/SettingsReaderTest.java
@@ -1,4 +1,4 @@
-package org.banyanspoke.daemon.settings;
+package org.banyanspoke.settings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -29,6 +29,7 @@
         void takesDefaultsForOptionalFields() throws Exception {
             Settings settings = reader.parse(VALID);
             assertThat(settings.callers().maxBodyBytes()).isEqualTo(33_554_432);
+            assertThat(settings.callers().maxHeldBodyBytes()).isEqualTo(67_108_864);
             assertThat(settings.drainNoticeMillis()).isEqualTo(2_000);
             assertThat(settings.policy()).isEqualTo(Settings.Policy.ADAPTIVE);
             assertThat(settings.peer().seeds()).hasSize(1);
@@ -55,6 +56,15 @@
                     """));
         }
 
+        /** Guards against a port that refuses every body of the largest size. */
+        @Test
+        void reportsRoomForLessThanTwoBodies() {
+            String settings = VALID.replace(
+                    "\"127.0.0.1:8080\"}", "\"127.0.0.1:8080\", \"maxBodyBytes\": 5000, \"maxHeldBodyBytes\": 9999}");
+            assertThat(messageFor(settings))
+                    .contains("callers.maxHeldBodyBytes: found 9999, allowed: an integer from 10000 to");
+        }
+
         /** Guards against a stack trace in place of a report for a file that is not JSON. */
         @Test
         void reportsBrokenJsonWithItsLine() {
