Do not state 'not run' for a stalled resubmission of a job that was started

Cause: a resubmission whose body did not arrive in time got REQUEST_TIMEOUT, 'not run', though an earlier submission under the same id may have run.

Change: the answer to a body that was not read asks for the state of the job first, as for want of room. An unused id still gets REQUEST_TIMEOUT.

Measured: RequestLimitsTest.stalledResubmissionDoesNotSayNotRun passes; 40 tests of the daemon's HTTP ports pass.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/CallerRoutes.java
@@ -92,11 +92,11 @@
                 : owners.submit(team(call), jobId, call.body(), body.request().batch(), wait);
     }
 
-    private Future<HttpAnswer> submitUnread(HttpCall call, RefusedException noRoom) throws DispatchException {
+    private Future<HttpAnswer> submitUnread(HttpCall call, DispatchException reason) throws DispatchException {
         JobId jobId = jobId(call);
         return owners.isOwn(jobId)
-                ? UnreadBodies.refuseOwn(jobs, team(call), jobId, noRoom)
-                : Future.failedFuture(UnreadBodies.later(jobId, noRoom));
+                ? UnreadBodies.refuseOwn(jobs, team(call), jobId, reason)
+                : Future.failedFuture(UnreadBodies.later(jobId, reason));
     }
 
     private Future<HttpAnswer> status(HttpCall call) throws DispatchException {
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/RouteTable.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.banyanspoke.api.errors.DispatchException;
 import org.banyanspoke.api.errors.ErrorKind;
-import org.banyanspoke.api.errors.RefusedException;
 
 /** Adds routes to one router so that every failure ends in a response. */
 final class RouteTable {
@@ -32,9 +31,9 @@
 
     /** Answers a request whose body was not read. */
     @FunctionalInterface
-    interface NoRoom {
+    interface Unread {
         /** Returns the response, or fails. */
-        Future<HttpAnswer> answer(HttpCall call, RefusedException refusal) throws DispatchException;
+        Future<HttpAnswer> answer(HttpCall call, DispatchException reason) throws DispatchException;
     }
 
     /** Handles a request. */
@@ -68,16 +67,16 @@
 
     /** Adds a route. The body is read only for POST and PUT. */
     void add(HttpMethod method, String path, Guard guard, Action action) {
-        add(method, path, guard, action, (call, refusal) -> Future.failedFuture(refusal));
+        add(method, path, guard, action, (call, reason) -> Future.failedFuture(reason));
     }
 
-    /** As above, with another answer than the refusal if there is no room for the body. */
-    void add(HttpMethod method, String path, Guard guard, Action action, NoRoom noRoom) {
+    /** As above, with another answer than the error if the body is not read for want of room or time. */
+    void add(HttpMethod method, String path, Guard guard, Action action, Unread unread) {
         boolean hasBody = method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT);
-        router.route(method, path).handler(context -> handle(context, guard, action, noRoom, hasBody));
+        router.route(method, path).handler(context -> handle(context, guard, action, unread, hasBody));
     }
 
-    private void handle(RoutingContext context, Guard guard, Action action, NoRoom noRoom, boolean hasBody) {
+    private void handle(RoutingContext context, Guard guard, Action action, Unread unread, boolean hasBody) {
         HttpServerRequest request = context.request();
         inProgress.incrementAndGet();
         context.addEndHandler(unused -> inProgress.decrementAndGet());
@@ -87,7 +86,7 @@
             Future<byte[]> body = hasBody ? bodies.read(request, held) : Future.succeededFuture(NO_BODY);
             body.transform(read -> read.succeeded()
                             ? run(action, new HttpCall(context, read.result(), held))
-                            : unread(noRoom, new HttpCall(context, NO_BODY, held), read.cause()))
+                            : unread(unread, new HttpCall(context, NO_BODY, held), read.cause()))
                     .map(answer -> write(request, answer))
                     .onFailure(e -> answers.writeError(request, e));
         } catch (DispatchException | RuntimeException e) {
@@ -109,17 +108,21 @@
         }
     }
 
-    private static Future<HttpAnswer> unread(NoRoom noRoom, HttpCall call, Throwable cause) {
-        if (!(cause instanceof RefusedException refusal)) {
+    private static Future<HttpAnswer> unread(Unread unread, HttpCall call, Throwable cause) {
+        if (!(cause instanceof DispatchException reason) || !isUnread(reason.kind())) {
             return Future.failedFuture(cause);
         }
         try {
-            return noRoom.answer(call, refusal);
+            return unread.answer(call, reason);
         } catch (DispatchException e) {
             return Future.failedFuture(e);
         }
     }
 
+    private static boolean isUnread(ErrorKind kind) {
+        return kind == ErrorKind.OVERLOADED || kind == ErrorKind.REQUEST_TIMEOUT;
+    }
+
     private void fail(RoutingContext context, ErrorKind kind, String message) {
         answers.writeError(context.request(), new DispatchException(kind, message));
     }
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/http/RequestLimitsTest.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/http/RequestLimitsTest.java
@@ -172,6 +172,26 @@
             assertThat(call("POST", JOBS, job).statusCode()).isEqualTo(200);
         }
 
+        /** Guards against "not run" for a stalled resubmission of a job that was started. */
+        @Test
+        void stalledResubmissionDoesNotSayNotRun() throws Exception {
+            String started = reserve();
+            String unused = reserve();
+            call("PUT", started + "?wait=false", largeJob());
+            assertThat(stalled(started)).contains("OWNER_UNREACHABLE", "may_have_run");
+            assertThat(stalled(unused)).contains("REQUEST_TIMEOUT", "not_run");
+        }
+
+        private String stalled(String path) throws IOException {
+            try (Socket socket = new Socket("127.0.0.1", host.callersPort())) {
+                socket.setSoTimeout(5_000);
+                String head = "PUT " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-token\r\n"
+                        + "Content-Length: 1000\r\n\r\n{";
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            }
+        }
+
         /** Guards against a request head that fills the memory. */
         @Test
         void anEndlessHeadIsRefused() throws Exception {
