Add network delay between zones and to callers to the bench; stop endless reservations

Cause: all traffic of the bench took the delay of loopback, so the preference for a host's own zone cost and gained nothing. A reservation of job ids that fails at once is repeated only while a job waits for it; the repetition overflowed the stack when the client was closed (seen in LoadGeneratorTest). Ruled out: the relay for every connection, and local addresses by zone, for which the settings have no field.

--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -76,7 +76,8 @@
                 arguments.getDouble("seconds"),
                 arguments.getDouble("warmup"),
                 arguments.getDouble("scale"),
-                arguments.getBoolean("keep"));
+                arguments.getBoolean("keep"),
+                arguments.getBoolean("delay"));
     }
 
     private static ArgumentParser parser() {
@@ -97,6 +98,9 @@
         parser.addArgument("--keep")
                 .action(Arguments.storeTrue())
                 .help("keep settings, output and ledger of the processes");
+        parser.addArgument("--delay")
+                .action(Arguments.storeTrue())
+                .help("network delay of the site between zones and to callers");
         parser.addArgument("--json").help("file for the result");
         parser.addArgument("--plot").help("PNG file for the response ratio by percentile");
         return parser;
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentMain.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentMain.java
@@ -79,7 +79,8 @@
                     arguments.getDouble("seconds"),
                     arguments.getDouble("warmup"),
                     arguments.getDouble("scale"),
-                    false));
+                    false,
+                    arguments.getBoolean("delay")));
         }
         return options;
     }
@@ -98,6 +99,7 @@
         parser.addArgument("--seconds").type(Double.class).help("measured time; default depends on the scenario");
         parser.addArgument("--warmup").type(Double.class).help("time with load before the measured time, in seconds");
         parser.addArgument("--scale").type(Double.class).setDefault(0.333);
+        parser.addArgument("--delay").action(Arguments.storeTrue()).help("network delay of the site");
         parser.addArgument("--max-load")
                 .type(Double.class)
                 .setDefault(Double.POSITIVE_INFINITY)
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentTable.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentTable.java
@@ -14,10 +14,12 @@
 public final class ExperimentTable {
     private static final String NONE = "-";
 
-    private record Group(String scenario, Shape shape, double seconds, double warmupSeconds, double scale) {
+    private record Group(
+            String scenario, Shape shape, double seconds, double warmupSeconds, double scale, boolean networkDelay) {
         static Group of(RunRecord run) {
             RunKey key = run.key();
-            return new Group(key.scenario(), key.shape(), key.seconds(), key.warmupSeconds(), key.scale());
+            return new Group(
+                    key.scenario(), key.shape(), key.seconds(), key.warmupSeconds(), key.scale(), key.networkDelay());
         }
     }
 
@@ -46,11 +48,12 @@
         text.append("### ").append(group.scenario()).append("\n\n");
         text.append(String.format(
                 Locale.ROOT,
-                "Site %s, scale %s, %s s after %s s of warm-up; least / median / largest.%n%n",
+                "Site %s, scale %s, %s s after %s s of warm-up%s; least / median / largest.%n%n",
                 group.shape().name().toLowerCase(Locale.ROOT),
                 group.scale(),
                 group.seconds(),
-                group.warmupSeconds()));
+                group.warmupSeconds(),
+                group.networkDelay() ? ", with network delay" : ""));
         Map<String, Spread> spreads = spreads(members);
         text.append("| figure |");
         policies.forEach(policy -> text.append(' ').append(policy).append(" |"));
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.banyanspoke.bench.Scenario;
 import org.banyanspoke.bench.capacity.CapacityOptions;
@@ -89,7 +90,7 @@
         List<Integer> weights = Collections.nCopies(size.hosts(), 1);
         try (LoadBalancer balancer = new LoadBalancer(vertx, ScenarioRun.callersPorts(topology), weights)) {
             ScenarioRun.awaitReady(balancer, size.hosts());
-            LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), false);
+            LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), false, 0);
             load.run(plan(scenario, options.seed(), options.warmupSeconds()), System.nanoTime());
             Measurement.Counts before = cluster.counts();
             int lastNumber;
@@ -119,6 +120,13 @@
         figures.put("jobsNotComplete", (double) outcomes.stream()
                 .filter(outcome -> outcome.state() != State.COMPLETE)
                 .count());
+        Map<String, Long> failures = outcomes.stream()
+                .filter(outcome -> outcome.state() != State.COMPLETE)
+                .collect(Collectors.groupingBy(
+                        outcome -> outcome.state() + " " + outcome.error(), Collectors.counting()));
+        if (!failures.isEmpty()) {
+            System.err.println(over + " " + value + ", jobs that did not complete: " + failures);
+        }
         ControlFigures control = ControlFigures.of(before, after);
         figures.put("controlCpuPercent", control.cpuPercent());
         figures.put("controlBytesPerSecond", control.bytesPerSecond());
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/JobIdPool.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/JobIdPool.java
@@ -43,17 +43,26 @@
         return promise.future();
     }
 
-    /** Reserves a block of ids unless a reservation is on its way. A failed one is repeated. */
+    /**
+     * Reserves a block of ids unless a reservation is on its way. A failed one is repeated while a job waits for an id; a
+     * repetition without end would overflow the stack when the client is closed and reservations fail at once.
+     */
     synchronized void fill(String team) {
         if (Boolean.TRUE.equals(reserving.put(team, true))) {
             return;
         }
         reservation.reserve(team, BLOCK).onComplete(ids -> add(team, ids), e -> {
             noteEnd(team);
-            fill(team);
+            if (isAwaited(team)) {
+                fill(team);
+            }
         });
     }
 
+    private synchronized boolean isAwaited(String team) {
+        return !waiting.getOrDefault(team, new ArrayDeque<>()).isEmpty();
+    }
+
     private synchronized void noteEnd(String team) {
         reserving.put(team, false);
     }
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/ScenarioRun.java
@@ -42,6 +42,12 @@
                 options.home(), directory, options.policy(), options.seed(), scenario.instant(), HOST_OPTIONS);
         try (Cluster cluster = new Cluster(clusterOptions, topology, Setup.ticket(scenario, topology))) {
             cluster.start();
+            if (options.networkDelay()) {
+                cluster.change(
+                        topology.fleetControlPort(),
+                        "/zones",
+                        topology.zoneDelay(options.shape().zoneDelayMicros()));
+            }
             Measurement measurement = measure(cluster, topology, vertx);
             if (!options.keepOutput()) {
                 MoreFiles.deleteRecursively(directory, RecursiveDeleteOption.ALLOW_INSECURE);
@@ -61,7 +67,8 @@
 
     private Measurement measure(Cluster cluster, Topology topology, Vertx vertx, LoadBalancer balancer)
             throws IOException, InterruptedException {
-        LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), scenario.reservedIds());
+        LoadGenerator load =
+                new LoadGenerator(vertx, balancer, Setup.tokens(scenario), scenario.reservedIds(), clientDelayMicros());
         awaitReady(balancer, topology.hosts());
         load.prepare();
         LoadPlanner planner = new LoadPlanner(scenario, options.seed(), options.warmupSeconds(), options.seconds());
@@ -79,6 +86,10 @@
         }
     }
 
+    private long clientDelayMicros() {
+        return options.networkDelay() ? options.shape().clientDelayMicros() : 0;
+    }
+
     static void awaitReady(LoadBalancer balancer, int hosts) throws InterruptedException {
         while (balancer.readyHosts() < hosts) {
             Thread.sleep(20);
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Topology.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/Topology.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.banyanspoke.api.config.BackendServerConfig;
 import org.banyanspoke.api.config.EntryHostConfig;
@@ -15,6 +17,7 @@
 import org.banyanspoke.bench.FaultAction.Target;
 import org.banyanspoke.bench.Scenario;
 import org.banyanspoke.bench.Shape;
+import org.banyanspoke.standins.backend.ZoneDelay;
 
 /** Hosts, servers, speeds, zones and ports of a run. */
 public final class Topology {
@@ -139,6 +142,15 @@
         return "z" + (index % zones + 1);
     }
 
+    /** Returns the zones of servers and hosts with the one-way delay between zones, for the backend stand-in. */
+    ZoneDelay zoneDelay(long delayMicros) {
+        List<String> serverZones =
+                IntStream.range(0, speeds.size()).mapToObj(this::zone).toList();
+        Map<String, String> hostZones =
+                IntStream.range(0, hosts).boxed().collect(Collectors.toMap(Topology::hostId, this::zone));
+        return new ZoneDelay(delayMicros, serverZones, hostZones);
+    }
+
     private String rack(int server) {
         int indexInZone = server / zones;
         return zone(server) + "-r" + (indexInZone / serversPerRack + 1);
--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendFleet.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendFleet.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
+import org.banyanspoke.api.json.Json;
 import org.banyanspoke.standins.ControlServer;
 import org.banyanspoke.standins.Options;
 
@@ -20,7 +21,8 @@
  *
  * <p>Control routes: {@code GET /options}; {@code POST /options?servers=0,2} with the fields of {@link ServerOptions}
  * to change; {@code POST /silence?servers=0,2} makes the open connections silent; {@code GET /ledger} gives the
- * {@link Ledger.Summary}; {@code GET /ledger/job?id=...} gives the starts of one job by task; {@code POST /flush}
+ * {@link Ledger.Summary}; {@code GET /ledger/job?id=...} gives the starts of one job by task; {@code POST /zones} sets the
+ * {@link ZoneDelay}; {@code POST /flush}
  * writes buffered lines of the ledger to its file. Without {@code servers}, a change concerns all.
  */
 public final class BackendFleet extends VerticleBase {
@@ -60,6 +62,7 @@
                 .get("/ledger/job", query -> ledger.startsOf(query.get("id")))
                 .post("/options", this::change)
                 .post("/silence", (query, body) -> onServers(query, BackendServer::silenceConnections))
+                .post("/zones", (query, body) -> delay(body))
                 .post("/flush", (query, body) -> flush());
         vertx.setPeriodic(FLUSH_PERIOD_MILLIS, timer -> ledger.flush());
         List<Future<?>> started = new ArrayList<>();
@@ -85,6 +88,18 @@
         return control.port();
     }
 
+    private Future<ZoneDelay> delay(JsonNode body) throws JsonProcessingException {
+        ZoneDelay delay = Json.mapper().treeToValue(body, ZoneDelay.class);
+        if (delay.serverZones().size() != servers.size()) {
+            throw new IllegalArgumentException("serverZones needs " + servers.size() + " values");
+        }
+        for (int i = 0; i < servers.size(); i++) {
+            int index = i;
+            servers.get(i).delay(request -> delay.micros(index, request.getHeader("Job-Id")));
+        }
+        return Future.succeededFuture(delay);
+    }
+
     private Future<?> flush() {
         ledger.flush();
         return Future.succeededFuture(Map.of("flushed", true));
--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendServer.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/BackendServer.java
@@ -13,7 +13,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
 import org.banyanspoke.standins.Exchanges;
 
@@ -32,6 +34,7 @@
     private final Set<HttpConnection> silent = new HashSet<>();
     private final List<Runnable> held = new ArrayList<>();
     private volatile ServerOptions options;
+    private volatile ToLongFunction<HttpServerRequest> oneWayMicros = request -> 0;
     private HttpServer server;
     private volatile int actualPort;
     private Context owner;
@@ -48,7 +51,8 @@
         this.port = port;
         this.options = options;
         this.ledger = ledger;
-        executor = new TaskExecutor(id, ledger, () -> this.options, random, this::whenThawed, silent::contains);
+        executor = new TaskExecutor(
+                id, ledger, () -> this.options, random, this::whenThawed, silent::contains, this::afterOneWay);
     }
 
     @Override
@@ -144,7 +148,22 @@
     }
 
     private void receive(HttpServerRequest request) {
-        request.body().onSuccess(body -> whenThawed(() -> dispatch(request, body.toString())));
+        request.body()
+                .onSuccess(body -> afterOneWay(request, () -> whenThawed(() -> dispatch(request, body.toString()))));
+    }
+
+    /** Sets the one-way network delay of requests and their responses, in microseconds by request. */
+    void delay(ToLongFunction<HttpServerRequest> micros) {
+        oneWayMicros = micros;
+    }
+
+    private void afterOneWay(HttpServerRequest request, Runnable action) {
+        long micros = oneWayMicros.applyAsLong(request);
+        if (micros == 0) {
+            action.run();
+        } else {
+            vertx.timer(micros, TimeUnit.MICROSECONDS).onSuccess(unused -> action.run());
+        }
     }
 
     /** Runs an action now, or when the server is no longer frozen. */
--- a/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/TaskExecutor.java
+++ b/banyanspoke-standins/src/main/java/org/banyanspoke/standins/backend/TaskExecutor.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -28,6 +29,7 @@
     private final DoubleSupplier random;
     private final Consumer<Runnable> whenThawed;
     private final Predicate<HttpConnection> silent;
+    private final BiConsumer<HttpServerRequest, Runnable> afterOneWay;
     private final Deque<TaskRun> queue = new ArrayDeque<>();
     private final Map<String, TaskRun> byAttempt = new HashMap<>();
     private Vertx vertx;
@@ -40,13 +42,15 @@
             Supplier<ServerOptions> options,
             DoubleSupplier random,
             Consumer<Runnable> whenThawed,
-            Predicate<HttpConnection> silent) {
+            Predicate<HttpConnection> silent,
+            BiConsumer<HttpServerRequest, Runnable> afterOneWay) {
         this.server = server;
         this.ledger = ledger;
         this.options = options;
         this.random = random;
         this.whenThawed = whenThawed;
         this.silent = silent;
+        this.afterOneWay = afterOneWay;
     }
 
     void bind(Vertx owner) {
@@ -174,12 +178,17 @@
     }
 
     private void respond(TaskRun run, int status, String body) {
+        HttpServerResponse response = run.request.response();
+        response.setStatusCode(status).putHeader("Task-Attempt", run.key.attempt());
+        describe(response);
+        afterOneWay.accept(run.request, () -> send(run, body));
+    }
+
+    private void send(TaskRun run, String body) {
         if (silent.test(run.request.connection())) {
             return;
         }
-        HttpServerResponse response = run.request.response();
-        response.setStatusCode(status).putHeader("Task-Attempt", run.key.attempt());
-        Exchanges.ignore(describe(response).end(body));
+        Exchanges.ignore(run.request.response().end(body));
     }
 
     private static String header(HttpServerRequest request, String name) {
