--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
@@ -91,12 +91,15 @@
         try (LoadBalancer balancer = new LoadBalancer(vertx, ScenarioRun.callersPorts(topology), weights)) {
             ScenarioRun.awaitReady(balancer, size.hosts());
             LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), false, 0);
-            load.run(plan(scenario, options.seed(), options.warmupSeconds()), System.nanoTime());
+            List<PlannedJob> warmup = plan(scenario, options.seed(), options.warmupSeconds());
+            load.run(warmup, System.nanoTime());
             Measurement.Counts before = cluster.counts();
             int lastNumber;
             List<JobOutcome> outcomes;
             try (TicketSequence tickets = new TicketSequence(cluster, setup, options.seconds())) {
-                outcomes = load.run(plan(scenario, options.seed() + 1, options.seconds()), System.nanoTime());
+                List<PlannedJob> jobs = plan(scenario, options.seed() + 1, options.seconds());
+                List<JobOutcome> all = load.run(jobs, System.nanoTime());
+                outcomes = all.subList(warmup.size(), all.size());
                 lastNumber = tickets.lastNumber();
             }
             Measurement.Counts after = cluster.counts();
--- a/banyanspoke-standins/src/test/java/org/banyanspoke/standins/HttpProbe.java
+++ b/banyanspoke-standins/src/test/java/org/banyanspoke/standins/HttpProbe.java
@@ -31,13 +31,13 @@
         return client.send(request(port, path).DELETE().build(), HttpResponse.BodyHandlers.ofString());
     }
 
-    /** Starts a task; {@code headers} are further names and values. */
+    /** Starts a task; {@code headers} are names and values that are added or replace those set here. */
     public CompletableFuture<HttpResponse<String>> task(int port, String attempt, String body, String... headers) {
         HttpRequest.Builder request = posting(port, "/tasks/" + attempt, body)
                 .header("Task-Id", "t-" + attempt)
                 .header("Job-Id", "j");
-        if (headers.length > 0) {
-            request.headers(headers);
+        for (int i = 0; i < headers.length; i += 2) {
+            request.setHeader(headers[i], headers[i + 1]);
         }
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
--- a/banyanspoke-standins/src/test/java/org/banyanspoke/standins/backend/BackendFleetTest.java
+++ b/banyanspoke-standins/src/test/java/org/banyanspoke/standins/backend/BackendFleetTest.java
@@ -129,6 +129,20 @@
         }
     }
 
+    @Nested
+    class Network {
+        /** Guards against a delay that only one direction takes. */
+        @Test
+        void delaysRequestsAndResponsesBetweenZones() throws Exception {
+            String zones = "{\"delayMicros\":200000,\"serverZones\":[\"z2\",\"z1\"],\"hostZones\":{\"h1\":\"z1\"}}";
+            assertThat(http.post(fleet.controlPort(), "/zones", zones).statusCode())
+                    .isEqualTo(200);
+            long start = System.nanoTime();
+            task("a", SHORT, "Job-Id", "h1~127.0.0.1:1~0~0~0~0");
+            assertThat(System.nanoTime() - start).isGreaterThan(398_000_000);
+        }
+    }
+
     @Nested
     class LedgerOfStarts {
         /** Guards against a second start that goes unnoticed. */
--- a/banyanspoke-standins/src/test/java/org/banyanspoke/standins/log/LogStandinTest.java
+++ b/banyanspoke-standins/src/test/java/org/banyanspoke/standins/log/LogStandinTest.java
@@ -86,6 +86,18 @@
         }
     }
 
+    @Nested
+    class Counts {
+        /** Guards against a recovery whose reads look free. */
+        @Test
+        void haveTheBytesOfReads() throws Exception {
+            append("{\"n\":1}");
+            int length = http.get(log.port(), "/records?from=0").body().length();
+            assertThat(http.json(log.controlPort(), "/counts").get("readBytes").asInt())
+                    .isEqualTo(length);
+        }
+    }
+
     @Nested
     class Speed {
         /** Guards against a writer that is measured against writes that cost nothing. */
