--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/internal/CapacityRun.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.banyanspoke.bench.Scenario;
 import org.banyanspoke.bench.capacity.CapacityOptions;
@@ -89,13 +90,16 @@
         List<Integer> weights = Collections.nCopies(size.hosts(), 1);
         try (LoadBalancer balancer = new LoadBalancer(vertx, ScenarioRun.callersPorts(topology), weights)) {
             ScenarioRun.awaitReady(balancer, size.hosts());
-            LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), false);
-            load.run(plan(scenario, options.seed(), options.warmupSeconds()), System.nanoTime());
+            LoadGenerator load = new LoadGenerator(vertx, balancer, Setup.tokens(scenario), false, 0);
+            List<PlannedJob> warmup = plan(scenario, options.seed(), options.warmupSeconds());
+            load.run(warmup, System.nanoTime());
             Measurement.Counts before = cluster.counts();
             int lastNumber;
             List<JobOutcome> outcomes;
             try (TicketSequence tickets = new TicketSequence(cluster, setup, options.seconds())) {
-                outcomes = load.run(plan(scenario, options.seed() + 1, options.seconds()), System.nanoTime());
+                List<PlannedJob> jobs = plan(scenario, options.seed() + 1, options.seconds());
+                List<JobOutcome> all = load.run(jobs, System.nanoTime());
+                outcomes = all.subList(warmup.size(), all.size());
                 lastNumber = tickets.lastNumber();
             }
             Measurement.Counts after = cluster.counts();
@@ -119,6 +123,13 @@
         figures.put("jobsNotComplete", (double) outcomes.stream()
                 .filter(outcome -> outcome.state() != State.COMPLETE)
                 .count());
+        Map<String, Long> failures = outcomes.stream()
+                .filter(outcome -> outcome.state() != State.COMPLETE)
+                .collect(Collectors.groupingBy(
+                        outcome -> outcome.state() + " " + outcome.error(), Collectors.counting()));
+        if (!failures.isEmpty()) {
+            System.err.println(over + " " + value + ", jobs that did not complete: " + failures);
+        }
         ControlFigures control = ControlFigures.of(before, after);
         figures.put("controlCpuPercent", control.cpuPercent());
         figures.put("controlBytesPerSecond", control.bytesPerSecond());
