--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/UsageLevel.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/schedule/internal/UsageLevel.java
@@ -22,7 +22,8 @@
 
     /**
      * Outstanding work relative to the usual use from which on it counts as a flood. Least retained service in the tight
-     * floods of the load experiment: 0.984 with 12 (bursts count as floods), 0.988 with 16, 0.990 with 24, 0.962 with 48.
+     * floods of the load experiment: 0.984 with 12, 0.988 with 16, 0.990 with 24 (seeds 1 to 10), 0.962 with 48 (seeds 1
+     * to 5).
      */
     private static final double FLOOD_OUTSTANDING = 24;
 
