--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/membership/LeavingServers.java
@@ -20,6 +20,8 @@
     /** The host list as last read; null before the first read. */
     private Set<ServerId> listed;
 
+    private boolean news;
+
     /**
      * @param gossip receives every new statement
      */
@@ -35,6 +37,13 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Returns whether there were new statements since the last call. */
+    public boolean takeNews() {
+        boolean had = news;
+        news = false;
+        return had;
+    }
+
     /** Returns all statements, for members that have missed some. */
     public List<ServerUpdate> updates() {
         return List.copyOf(updates.values());
@@ -49,8 +58,8 @@
      */
     public void onListed(Set<ServerId> servers, long configNumber) {
         for (ServerId server : servers) {
-            boolean news = listed == null ? !updates.containsKey(server) : !listed.contains(server);
-            if (news && !isLeaving(server)) {
+            boolean isNew = listed == null ? !updates.containsKey(server) : !listed.contains(server);
+            if (isNew && !isLeaving(server)) {
                 accept(server, "", true, configNumber);
             }
         }
@@ -58,7 +67,9 @@
     }
 
     /**
-     * A server's own answer said whether it is leaving.
+     * A server's own answer said whether it is leaving. A statement that names no incarnation, as those of the host list,
+     * is taken to be about the first process that answers after it: the list lags, so this process may already be the next
+     * one, which then stays out until a ticket.
      *
      * @param incarnation the server's incarnation; empty if it did not say
      * @param configNumber number of the present configuration
@@ -69,18 +80,23 @@
         if (leaving && (known == null || !known.leaving() || !sameProcess)) {
             accept(server, incarnation, true, configNumber);
         } else if (!leaving && known != null && known.leaving() && !sameProcess && !incarnation.isEmpty()) {
-            accept(server, incarnation, false, configNumber);
+            boolean unnamed = known.incarnation().isEmpty();
+            accept(server, incarnation, unnamed, unnamed ? known.configNumber() : configNumber);
         }
     }
 
+    /** Returns whether a statement is still the latest one about its server. */
+    public boolean isLatest(ServerUpdate update) {
+        return update.equals(updates.get(update.server()));
+    }
+
     /** Takes a statement of a peer. Returns whether it was new. */
     public boolean merge(ServerUpdate update) {
         ServerUpdate known = updates.get(update.server());
         if (known != null && !update.supersedes(known)) {
             return false;
         }
-        updates.put(update.server(), update);
-        gossip.add(update);
+        put(update);
         return true;
     }
 
@@ -116,8 +132,12 @@
     private void accept(ServerId server, String incarnation, boolean leaving, long configNumber) {
         ServerUpdate known = updates.get(server);
         long version = known == null ? 1 : known.version() + 1;
-        ServerUpdate update = new ServerUpdate(server, incarnation, version, leaving, configNumber);
-        updates.put(server, update);
+        put(new ServerUpdate(server, incarnation, version, leaving, configNumber));
+    }
+
+    private void put(ServerUpdate update) {
+        updates.put(update.server(), update);
         gossip.add(update);
+        news = true;
     }
 }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -36,6 +36,7 @@
 import org.banyanspoke.daemon.metrics.DaemonMetrics;
 import org.banyanspoke.daemon.platform.HttpHostListClient;
 import org.banyanspoke.daemon.platform.HttpLogClient;
+import org.banyanspoke.daemon.platform.HttpServerCheck;
 import org.banyanspoke.kernel.Kernel;
 import org.banyanspoke.peer.FrameFilter;
 import org.banyanspoke.peer.PeerTransport;
@@ -68,6 +69,7 @@
     private final HttpService callers;
     private final HostGate gate;
     private final DrainCoordinator drain;
+    private final StoppableForwarder forwarder;
 
     Daemon(Settings settings) {
         this.settings = settings;
@@ -86,16 +88,9 @@
         this.dispatch = createDispatch(new DispatchLog(metrics, control));
         this.drain =
                 new DrainCoordinator(trafficVertx, settings.drainNoticeMillis(), this::refuseNewWork, this::handOver);
+        this.forwarder = new StoppableForwarder(control::forward);
         this.callers = HttpServices.callers(
-                trafficVertx,
-                settings.callers(),
-                callerLoops,
-                control,
-                dispatch,
-                control::forward,
-                this,
-                bodies,
-                metrics);
+                trafficVertx, settings.callers(), callerLoops, control, dispatch, forwarder, this, bodies, metrics);
         control.attach(new ForwardedJobs(dispatch, bodies));
         register(metrics);
     }
@@ -160,6 +155,7 @@
                 controlSettings,
                 new HttpLogClient(rxVertx, settings.logAddress().toString()),
                 new HttpHostListClient(rxVertx, settings.hostListAddress().toString()),
+                new HttpServerCheck(rxVertx),
                 new PeerTransport(identity.host(), identity.incarnation(), TransportLimits.DEFAULT, FrameFilter.NONE),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create());
@@ -196,7 +192,7 @@
 
     private Future<Void> refuseNewWork() {
         gate.startDraining();
-        return dispatch.drain();
+        return Future.all(dispatch.drain(), forwarder.stop()).mapEmpty();
     }
 
     private Future<Void> handOver() {
