--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/Daemon.java
@@ -83,8 +83,7 @@
                 new Incarnation(secureRandom.nextLong()));
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
         BodyBudget bodies = new BodyBudget(settings.callers().maxHeldBodyBytes());
-        metrics.report("http.heldBodyBytes", bodies::heldBytes);
-        metrics.report("http.refusedBodies", bodies::refusals);
+        metrics.addCounters(bodies::counters);
         this.control = createControl();
         metrics.addCounters(() -> control.load().counters(platformTraffic));
         this.gate = new HostGate(control::readiness);
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/backend/ServerConnections.java
@@ -56,6 +56,7 @@
     private int opening;
     private boolean probing;
     private boolean retired;
+    private boolean closed;
     private double meanServiceNanos;
 
     ServerConnections(
@@ -150,7 +151,7 @@
     /** Closes all connections and opens none for what waits. Sent attempts end as {@code UNKNOWN}. */
     void close() {
         retired = true;
-        waiting.clear();
+        closed = true;
         List.copyOf(open).forEach(connection -> connection.close("the process stops"));
     }
 
@@ -246,7 +247,7 @@
     }
 
     private void openIfNeeded() {
-        while (opening < waiting.size() && open.size() + opening < MAX_CONNECTIONS) {
+        while (!closed && opening < waiting.size() && open.size() + opening < MAX_CONNECTIONS) {
             open(connection -> {
                 idle.push(connection);
                 serve();
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/BodyBudget.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/BodyBudget.java
@@ -29,14 +29,9 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Returns the bytes that are held. */
-    public synchronized long heldBytes() {
-        return heldBytes;
-    }
-
-    /** Returns how many bodies were refused. */
-    public synchronized long refusals() {
-        return refusals;
+    /** Returns the bytes that are held and the number of refused bodies, by the names of their metrics. */
+    public synchronized Map<String, Long> counters() {
+        return Map.of("http.heldBodyBytes", heldBytes, "http.refusedBodies", refusals);
     }
 
     /** Returns the share of one request, which holds nothing yet. */
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/metrics/DaemonMetrics.java
@@ -1,6 +1,5 @@
 package org.banyanspoke.daemon.metrics;
 
-import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.banyanspoke.api.config.UrgencyClass;
 import org.banyanspoke.api.errors.ErrorKind;
@@ -92,12 +90,6 @@
         }
     }
 
-    /** Reports a value with the counters. Called once for each name. */
-    public void report(String name, LongSupplier value) {
-        Gauge<Long> gauge = value::getAsLong;
-        registry.register(name, gauge);
-    }
-
     /** Counts an error response. Thread safe. */
     public void errorAnswered(ErrorKind kind) {
         registry.counter("http.errors." + kind).inc();
@@ -112,7 +104,6 @@
     public Report report() {
         Map<String, Long> counters = new TreeMap<>();
         registry.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
-        registry.getGauges().forEach((name, gauge) -> counters.put(name, (Long) gauge.getValue()));
         sources.forEach(source -> counters.putAll(source.get()));
         Map<String, Quantiles> histograms = new TreeMap<>();
         registry.getHistograms().forEach((name, histogram) -> histograms.put(name, Quantiles.of(histogram)));
--- a/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
+++ b/banyanspoke-daemon/src/test/java/org/banyanspoke/daemon/TestHost.java
@@ -95,8 +95,7 @@
         this.incarnation = new Incarnation(incarnation);
         DaemonMetrics metrics = new DaemonMetrics(new MetricRegistry(), clock);
         BodyBudget bodies = new BodyBudget(MAX_HELD_BODY_BYTES);
-        metrics.report("http.heldBodyBytes", bodies::heldBytes);
-        metrics.report("http.refusedBodies", bodies::refusals);
+        metrics.addCounters(bodies::counters);
         StubControl control = new StubControl(config(backendAddress));
         DispatchThread thread = new DispatchThread(dispatchVertx.getOrCreateContext());
         BackendClient backend = new BackendClient(dispatchVertx, thread.context(), clock);
