Let a flood use servers with one slot; bad histories for kills, replacements and returns

Cause: a flood's task needed two free slots of a server, so one with a single slot never served a flood while its load report was recent. The history checker's new events (host killed, host started, server in service) had no history that a rule must reject.

Change: a server whose slots are all free takes a flood's task. Four bad histories and one allowed history.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/routing/internal/PooledServer.java
@@ -87,7 +87,8 @@
 
     /**
      * Returns whether a claim finds room. The window divides the slots evenly among the hosts; a host with a burst of
-     * protected work goes beyond it where the last report shows free slots, and floods leave it some.
+     * protected work goes beyond it where the last report shows free slots, and floods leave it some. A server whose slots are
+     * all free takes a flood's task too, or a server with one slot would never serve a flood.
      */
     boolean hasRoom(long nowNanos, SlotClaim claim) {
         boolean inWindow = inFlight < (int) window;
@@ -97,7 +98,7 @@
         double free = slots() - expectedLoad();
         return claim == SlotClaim.PROTECTED
                 ? inWindow || (free >= 1 && inFlight < AdaptiveWindow.MAX)
-                : inWindow && free >= 1 + RESERVED_SLOTS;
+                : inWindow && free >= Math.min(slots(), 1 + RESERVED_SLOTS);
     }
 
     /** Returns whether the last result was no success. */
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/routing/AdaptiveServerPoolTest.java
@@ -206,6 +206,18 @@
             assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).contains(S0);
         }
 
+        /** Guards against a reserve that leaves a flood nothing of a server with one slot. */
+        @Test
+        void floodsUseAServerWithOneSlotWhileItIsFree() {
+            BackendServerConfig small = new BackendServerConfig(
+                    S0, new ZoneId("z1"), "r", "127.0.0.1:2", 1, 64, Set.of(), ServerState.IN_SERVICE);
+            pool.configure(config(2, small));
+            end(S0, Outcome.DONE, 100, new LoadReport(0, 0, 1));
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).contains(S0);
+            pool.onSent(S0, TASK);
+            assertThat(pool.select(BATCH, TASK, SlotClaim.YIELDING)).isEmpty();
+        }
+
         /** Guards against a host that cannot use free slots for a burst, or goes beyond the free ones. */
         @Test
         void protectedWorkUsesFreeSlotsBeyondTheWindow() {
--- a/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/history/HistoryCheckerTest.java
+++ b/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/history/HistoryCheckerTest.java
@@ -48,11 +48,36 @@
                         "leaving server gets nothing",
                         new Event.Leaving(0, "s1"),
                         new Event.Started(3_001, "s1", "j1", "t1")),
+                bad(
+                        "leaving server gets nothing",
+                        new Event.Leaving(0, "s1"),
+                        new Event.InService(1_000, "s1"),
+                        new Event.Leaving(2_000, "s1"),
+                        new Event.Started(5_001, "s1", "j1", "t1")),
+                bad(
+                        "leaving server gets nothing",
+                        new Event.Leaving(0, "s1"),
+                        new Event.InService(1_000, "s2"),
+                        new Event.Started(3_001, "s1", "j1", "t1")),
                 bad(
                         "planned stop cuts nothing",
                         SUBMITTED,
                         new Event.PlannedStop(1, "h1"),
                         new Event.ConnectionLost(2, "r1", "h1")),
+                bad(
+                        "planned stop cuts nothing",
+                        SUBMITTED,
+                        new Event.PlannedStop(1, "h1"),
+                        new Event.HostKilled(2, "h2"),
+                        new Event.HostStarted(3, "h3"),
+                        new Event.ConnectionLost(4, "r1", "h1")),
+                bad(
+                        "planned stop cuts nothing",
+                        SUBMITTED,
+                        new Event.PlannedStop(1, "h1"),
+                        new Event.HostStarted(2, "h1"),
+                        new Event.PlannedStop(3, "h1"),
+                        new Event.ConnectionLost(4, "r1", "h1")),
                 bad(
                         "configuration never reverts",
                         new Event.ConfigSeen(0, "h1", 2, true),
@@ -110,5 +135,25 @@
             assertThat(checker.check(History.parse(history.toJsonLines().lines().toList())))
                     .isEmpty();
         }
+
+        /** Guards against false alarms after faults that end a planned stop or a server's leaving. */
+        @Test
+        void aHistoryWithKillsReplacementsAndReturns() {
+            History history = new History(List.of(
+                    SUBMITTED,
+                    new Event.PlannedStop(1, "h1"),
+                    new Event.HostKilled(2, "h1"),
+                    new Event.ConnectionLost(3, "r1", "h1"),
+                    new Event.PlannedStop(4, "h2"),
+                    new Event.HostStarted(5, "h2"),
+                    new Event.Submitted(6, "r2", "j1", List.of("t1"), List.of()),
+                    new Event.ConnectionLost(7, "r2", "h2"),
+                    new Event.Submitted(8, "r3", "j1", List.of("t1"), List.of()),
+                    refused(9, "r3"),
+                    new Event.Leaving(10, "s1"),
+                    new Event.InService(20, "s1"),
+                    new Event.Started(3_011, "s1", "j2", "t1")));
+            assertThat(checker.check(history)).isEmpty();
+        }
     }
 }
