--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/Main.java
@@ -10,10 +10,10 @@
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
-import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.HdrHistogram.Histogram;
 import org.banyanspoke.api.json.Json;
+import org.banyanspoke.bench.internal.CommandLine;
 import org.banyanspoke.bench.internal.RatioPlot;
 
 /** The bench on the command line. The last line of its output is one JSON object. */
@@ -22,20 +22,10 @@
 
     /** Runs the scenario named by the arguments; see {@code --help}. Exits with 1 if the run fails. */
     public static void main(String[] args) throws InterruptedException {
-        ArgumentParser parser = parser();
-        try {
-            run(parser.parseArgs(args));
-            System.exit(0);
-        } catch (ArgumentParserException e) {
-            parser.handleError(e);
-            System.exit(2);
-        } catch (IOException | IllegalArgumentException e) {
-            System.err.println("run failed: " + e.getMessage());
-            System.exit(1);
-        }
+        CommandLine.execute(parser(), args, Main::run);
     }
 
-    private static void run(Namespace arguments) throws IOException, InterruptedException {
+    private static boolean run(Namespace arguments) throws IOException, InterruptedException {
         BenchOptions options = options(arguments);
         List<Report> reports = new ArrayList<>();
         Histogram ratios = new Histogram(3);
@@ -51,6 +41,7 @@
             System.out.println(text(result));
         }
         write(arguments, result, ratios);
+        return true;
     }
 
     private static void write(Namespace arguments, Object result, Histogram ratios) throws IOException {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/capacity/CapacityMain.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/capacity/CapacityMain.java
@@ -13,10 +13,10 @@
 import java.util.concurrent.Future;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
-import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.banyanspoke.api.json.Json;
 import org.banyanspoke.bench.internal.CapacityRun;
+import org.banyanspoke.bench.internal.CommandLine;
 import org.banyanspoke.bench.internal.RecoveryRun;
 
 /** A capacity measurement on the command line; docs/bench.md describes the options. */
@@ -29,16 +29,7 @@
 
     /** Measures the points and prints the table. Exits with 1 if a point fails and with 2 if the command line is wrong. */
     public static void main(String[] args) throws InterruptedException {
-        ArgumentParser parser = parser();
-        try {
-            System.exit(run(parser.parseArgs(args)) ? 0 : 1);
-        } catch (ArgumentParserException e) {
-            parser.handleError(e);
-            System.exit(2);
-        } catch (IOException | IllegalArgumentException e) {
-            System.err.println("measurement failed: " + e);
-            System.exit(1);
-        }
+        CommandLine.execute(parser(), args, CapacityMain::run);
     }
 
     private static boolean run(Namespace arguments) throws IOException, InterruptedException {
--- a/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentMain.java
+++ b/banyanspoke-bench/src/main/java/org/banyanspoke/bench/experiment/ExperimentMain.java
@@ -12,11 +12,11 @@
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
-import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.banyanspoke.bench.BenchOptions;
 import org.banyanspoke.bench.BenchRun;
 import org.banyanspoke.bench.Shape;
+import org.banyanspoke.bench.internal.CommandLine;
 
 /** An experiment on the command line; docs/bench.md describes the options. */
 public final class ExperimentMain {
@@ -24,16 +24,7 @@
 
     /** Does the runs and writes the table. Exits with 1 if a run failed and with 2 if the command line is wrong. */
     public static void main(String[] args) throws InterruptedException {
-        ArgumentParser parser = parser();
-        try {
-            System.exit(run(parser.parseArgs(args)) ? 0 : 1);
-        } catch (ArgumentParserException e) {
-            parser.handleError(e);
-            System.exit(2);
-        } catch (IOException | IllegalArgumentException e) {
-            System.err.println("experiment failed: " + e);
-            System.exit(1);
-        }
+        CommandLine.execute(parser(), args, ExperimentMain::run);
     }
 
     private static boolean run(Namespace arguments) throws IOException, InterruptedException {
