Entry hosts on the platform: leases on servers by fencing tokens, one dispatcher a zone

The whole path, thin: callers' jobs of one step, a dispatcher for each zone that owns the servers of the zone by a fencing token, jobs handed to the dispatcher that can begin them soonest. The adapter in platform/ holds names, formats and calls.

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
@@ -1,6 +1,8 @@
 package org.banyanspoke.daemon.logging;
 
 import java.util.Map;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.settings.Settings;
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.LogContext;
@@ -20,18 +22,25 @@
 
     /** Sends all log lines at or above the level of the settings to standard error as JSON. */
     public static void configure(Settings settings) {
+        configure(settings.host().id(), settings.host().zone(), ConsoleHandler.Target.SYSTEM_ERR, level(settings));
+    }
+
+    /** Sends all log lines from INFO to standard output as JSON. */
+    public static void configure(HostId host, ZoneId zone) {
+        configure(host, zone, ConsoleHandler.Target.SYSTEM_OUT, Level.INFO);
+    }
+
+    private static void configure(
+            HostId host, ZoneId zone, ConsoleHandler.Target target, java.util.logging.Level level) {
         Logger root = LogContext.getLogContext().getLogger("");
         for (java.util.logging.Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        Map<String, String> hostFields = Map.of(
-                "host", settings.host().id().value(),
-                "zone", settings.host().zone().value());
-        ConsoleHandler handler =
-                new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, new JsonLineFormatter(hostFields));
+        Map<String, String> hostFields = Map.of("host", host.value(), "zone", zone.value());
+        ConsoleHandler handler = new ConsoleHandler(target, new JsonLineFormatter(hostFields));
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
-        root.setLevel(level(settings));
+        root.setLevel(level);
     }
 
     private static java.util.logging.Level level(Settings settings) {
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -0,0 +1,50 @@
+package org.banyanspoke.host;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.platform.StoreClient;
+
+/** Peer addresses of all hosts that have registered in the store. */
+final class HostDirectory implements TopicFollower.Listener {
+    private final HostId self;
+    private final Map<HostId, String> addresses = new HashMap<>();
+
+    HostDirectory(HostId self) {
+        this.self = self;
+    }
+
+    /** Returns the record by which a host registers. */
+    static StoreClient.Entry record(HostId host, String peerAddress) {
+        return new StoreClient.Entry(host.value(), peerAddress.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onAll(List<StoreClient.Entry> entries) {
+        onChanges(entries);
+    }
+
+    @Override
+    public void onChanges(List<StoreClient.Entry> entries) {
+        for (StoreClient.Entry entry : entries) {
+            HostId host = new HostId(entry.key());
+            if (entry.value().length == 0) {
+                addresses.remove(host);
+            } else if (!host.equals(self)) {
+                addresses.put(host, new String(entry.value(), StandardCharsets.UTF_8));
+            }
+        }
+    }
+
+    /** Returns the addresses of the other hosts. */
+    Collection<Map.Entry<HostId, String>> others() {
+        return List.copyOf(addresses.entrySet());
+    }
+
+    String address(HostId host) {
+        return addresses.get(host);
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -0,0 +1,185 @@
+package org.banyanspoke.host;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.security.SecureRandom;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.core.ownership.FencingTokens;
+import org.banyanspoke.core.ownership.JobRouter;
+import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.daemon.logging.EventLog;
+import org.banyanspoke.peer.FrameFilter;
+import org.banyanspoke.peer.PeerTransport;
+import org.banyanspoke.peer.TransportLimits;
+import org.banyanspoke.platform.CallerServer;
+import org.banyanspoke.platform.HttpServerOrders;
+import org.banyanspoke.platform.PlatformSettings;
+import org.banyanspoke.platform.SiteTopics;
+import org.banyanspoke.platform.StoreClient;
+import org.jboss.logging.Logger;
+
+/** One entry host: joins its parts and gives them their turns on one thread. */
+final class HostProcess {
+    /** Peers that are silent for twice this time are given up. */
+    private static final long PEER_SILENCE_MILLIS = 300;
+
+    private static final TransportLimits PEER_LIMITS =
+            new TransportLimits(4 * 1024 * 1024, 16L * 1024 * 1024, 500, PEER_SILENCE_MILLIS, 60_000);
+    /** Deadlines are met this exactly. */
+    private static final long TICK_MILLIS = 20;
+    /** Time in which a new host hears the others before it may claim to dispatch. */
+    private static final long SETTLE_MILLIS = 800;
+
+    private static final long REGISTER_TIMEOUT_MILLIS = 1_000;
+    private static final long REGISTER_RETRY_MILLIS = 300;
+    /** A change of the configuration is known after one way to the store; silent connections are noticed soon after this. */
+    private static final long CONFIG_WAIT_MILLIS = 1_000;
+    /** Hosts change seldom, and are heard directly. */
+    private static final long HOSTS_PAUSE_MILLIS = 1_500;
+    /** Within this time a dispatcher knows of a server that leaves. */
+    private static final long SERVERS_PAUSE_MILLIS = 400;
+
+    private static final long SERVERS_IDLE_PAUSE_MILLIS = 1_200;
+    /** The platform sends new connections for two checks of a second after the first failed one. */
+    private static final long STOP_LEAST_MILLIS = 2_500;
+    /** Left before the process is killed. */
+    private static final long STOP_MARGIN_MILLIS = 700;
+
+    private static final EventLog LOG = EventLog.of(HostProcess.class);
+
+    private final PlatformSettings settings;
+    private final MonotonicClock clock = System::nanoTime;
+    private final Vertx vertx = Vertx.vertx(new VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            .setBlockedThreadCheckInterval(3_600_000));
+    private final Context context = vertx.getOrCreateContext();
+    private final PeerTransport transport;
+    private final StoreClient store;
+    private final ConfigWatch config = new ConfigWatch();
+    private final ServerRegistry registry = new ServerRegistry(clock);
+    private final HostDirectory directory;
+    private final ZoneDispatcher dispatcher;
+    private final HostLinks links;
+    private final JobForwarder jobs;
+    private long registeredMillis = Long.MAX_VALUE;
+    private long stopRequestedMillis = -1;
+    private Runnable whenStopped = () -> {};
+
+    HostProcess(PlatformSettings settings) {
+        this.settings = settings;
+        this.transport = new PeerTransport(
+                settings.host(), new Incarnation(new SecureRandom().nextLong()), PEER_LIMITS, FrameFilter.NONE);
+        this.store = new StoreClient(vertx, settings.storeAddress());
+        this.directory = new HostDirectory(settings.host());
+        FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
+        ServerPool pool = ServerPool.create(new HttpServerOrders(vertx), tokens, settings.pool(), clock, new PoolLog());
+        this.dispatcher = new ZoneDispatcher(settings.host(), settings.zone(), pool, tokens, registry);
+        this.links = new HostLinks(transport, context, directory, clock, dispatcher::state);
+        this.jobs = new JobForwarder(
+                settings.host(),
+                transport,
+                context,
+                directory,
+                links,
+                dispatcher,
+                config,
+                new JobRouter(settings.zone()));
+    }
+
+    /** Starts everything; returns before the first configuration is known. */
+    void start() throws IOException, InterruptedException {
+        transport.start(settings.peerAddress());
+        context.runOnContext(unused -> startOnContext());
+    }
+
+    private void startOnContext() {
+        new CallerServer(vertx, jobs)
+                .start(settings.callerAddress(), settings.readinessAddress())
+                .onSuccess(unused -> LOG.event(Logger.Level.INFO, "listening")
+                        .with("callers", settings.callerAddress())
+                        .write())
+                .onFailure(e -> {
+                    LOG.event(Logger.Level.FATAL, "cannot listen").cause(e).write();
+                    Runtime.getRuntime().halt(Main.EXIT_FAILED);
+                });
+        new TopicFollower(vertx, store, SiteTopics.OPERATORS, CONFIG_WAIT_MILLIS, () -> 0, config).start();
+        new TopicFollower(vertx, store, SiteTopics.SERVERS, 0, this::serversPauseMillis, registry).start();
+        new TopicFollower(vertx, store, SiteTopics.HOSTS, 0, () -> HOSTS_PAUSE_MILLIS, directory).start();
+        register();
+        vertx.setPeriodic(TICK_MILLIS, unused -> tick());
+    }
+
+    private long serversPauseMillis() {
+        return dispatcher.dispatching() ? SERVERS_PAUSE_MILLIS : SERVERS_IDLE_PAUSE_MILLIS;
+    }
+
+    /** An answer that is lost leaves a record behind and costs a number; the newest record of a host is the one that counts. */
+    private void register() {
+        var unused = store.append(
+                        SiteTopics.HOSTS,
+                        HostDirectory.record(settings.host(), settings.peerAddress()),
+                        REGISTER_TIMEOUT_MILLIS)
+                .subscribe(this::onRegistered, e -> {
+                    LOG.event(Logger.Level.WARN, "not registered, trying again")
+                            .with("reason", e.getMessage())
+                            .write();
+                    vertx.setTimer(REGISTER_RETRY_MILLIS, none -> register());
+                });
+    }
+
+    private void onRegistered(long offset) {
+        // Numbers start at 1, because 0 stands for a host without one.
+        dispatcher.registered(offset + 1);
+        registeredMillis = clock.millis();
+        LOG.event(Logger.Level.INFO, "registered").with("number", offset + 1).write();
+        links.tellAll();
+    }
+
+    private void tick() {
+        links.tick();
+        if (registeredMillis != Long.MAX_VALUE && clock.millis() - registeredMillis >= SETTLE_MILLIS) {
+            boolean before = dispatcher.dispatching();
+            dispatcher.review(links.heard());
+            if (before != dispatcher.dispatching()) {
+                links.tellAll();
+            }
+        }
+        dispatcher.tick(links::hears);
+        if (stopRequestedMillis >= 0) {
+            stopIfDone();
+        }
+    }
+
+    /** Stops when all callers have their answers, or the time is up. */
+    void stop(Runnable stopped) {
+        context.runOnContext(unused -> {
+            LOG.event(Logger.Level.INFO, "stopping")
+                    .with("openJobs", jobs.openJobs())
+                    .write();
+            whenStopped = stopped;
+            stopRequestedMillis = clock.millis();
+            jobs.leave();
+            dispatcher.leave();
+            links.tellAll();
+        });
+    }
+
+    private void stopIfDone() {
+        long elapsedMillis = clock.millis() - stopRequestedMillis;
+        boolean idle = jobs.openJobs() == 0 && dispatcher.idle();
+        boolean late = elapsedMillis >= settings.stopMillis() - STOP_MARGIN_MILLIS;
+        if (late || (idle && elapsedMillis >= STOP_LEAST_MILLIS)) {
+            stopRequestedMillis = -1;
+            LOG.event(Logger.Level.INFO, "stopped")
+                    .with("openJobs", jobs.openJobs())
+                    .with("afterMillis", elapsedMillis)
+                    .write();
+            whenStopped.run();
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -0,0 +1,117 @@
+package org.banyanspoke.host;
+
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.QueueTerms;
+import org.banyanspoke.core.pool.TaskShape;
+import org.banyanspoke.peer.generated.HostStateMessage;
+import org.banyanspoke.peer.generated.PoolJobReply;
+import org.banyanspoke.peer.generated.PoolJobRequest;
+
+/** Messages between entry hosts and the types of the core. */
+final class PoolMessages {
+    private PoolMessages() {}
+
+    static HostStateMessage encode(HostState state) {
+        HostStateMessage.Builder message = HostStateMessage.newBuilder()
+                .setHost(state.host().value())
+                .setZone(state.zone().value())
+                .setRegistration(state.registration())
+                .setLeaving(state.leaving())
+                .setRound(state.round())
+                .setCapacityMillicores(state.load().capacityMillicores())
+                .setFreeMillicores(state.load().freeMillicores())
+                .setQueuedCoreMillis(state.load().queuedCoreMillis())
+                .setQueuedJobs(state.load().queuedJobs());
+        state.held().forEach(server -> message.addHeldServers(server.value()));
+        return message.build();
+    }
+
+    static HostState decode(HostStateMessage message) {
+        Set<ServerId> held =
+                message.getHeldServersList().stream().map(ServerId::new).collect(Collectors.toUnmodifiableSet());
+        return new HostState(
+                new HostId(message.getHost()),
+                new ZoneId(message.getZone()),
+                message.getRegistration(),
+                message.getLeaving(),
+                message.getRound(),
+                held,
+                new PoolLoad(
+                        message.getCapacityMillicores(),
+                        message.getFreeMillicores(),
+                        message.getQueuedCoreMillis(),
+                        message.getQueuedJobs()));
+    }
+
+    static PoolJobRequest encode(PooledJob job) {
+        TaskShape shape = job.shape();
+        return PoolJobRequest.newBuilder()
+                .setJob(job.id().value())
+                .setQueue(job.terms().name())
+                .setService(job.terms().service())
+                .setPriority(job.terms().priority())
+                .setAttempts(job.terms().attempts())
+                .setStretch(job.terms().stretch())
+                .setTargetLatencyMillis(job.terms().targetLatencyMillis())
+                .setPayload(job.payload())
+                .setTasks(job.tasks())
+                .setCpuMillicores(shape.cpuMillicores())
+                .setMemoryMegabytes(shape.memoryMegabytes())
+                .setGpus(shape.gpus())
+                .setEstimateMillis(shape.estimateMillis())
+                .setLabel(shape.label())
+                .setRack(shape.rack())
+                .setMaxPerServer(shape.maxPerServer())
+                .setAgeMillis(job.ageMillis())
+                .setPatienceMillis(job.patienceMillis())
+                .build();
+    }
+
+    static PooledJob decode(PoolJobRequest message) {
+        return new PooledJob(
+                new CallerJobId(message.getJob()),
+                new QueueTerms(
+                        message.getQueue(),
+                        message.getService(),
+                        message.getPriority(),
+                        message.getAttempts(),
+                        message.getStretch(),
+                        message.getTargetLatencyMillis()),
+                message.getPayload(),
+                message.getTasks(),
+                new TaskShape(
+                        message.getCpuMillicores(),
+                        message.getMemoryMegabytes(),
+                        message.getGpus(),
+                        message.getEstimateMillis(),
+                        message.getLabel(),
+                        message.getRack(),
+                        message.getMaxPerServer()),
+                message.getAgeMillis(),
+                message.getPatienceMillis());
+    }
+
+    static PoolJobReply encode(JobOutcome outcome) {
+        return PoolJobReply.newBuilder()
+                .setOutcome(PoolJobReply.Outcome.valueOf(outcome.kind().name()))
+                .setReason(outcome.reason())
+                .setRetryAfterMillis(outcome.retryAfterMillis())
+                .build();
+    }
+
+    static JobOutcome decode(PoolJobReply message) {
+        return new JobOutcome(
+                JobOutcome.Kind.valueOf(message.getOutcome().name()),
+                message.getReason(),
+                message.getRetryAfterMillis());
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -0,0 +1,171 @@
+package org.banyanspoke.host;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.ownership.FencingTokens;
+import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.ownership.ZoneElection;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.ServerEntry;
+import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.daemon.logging.EventLog;
+import org.jboss.logging.Logger;
+
+/** Dispatches for this host's zone while the election says so, for jobs of all entry hosts. */
+final class ZoneDispatcher {
+    private static final EventLog LOG = EventLog.of(ZoneDispatcher.class);
+
+    private final HostId host;
+    private final ZoneId zone;
+    private final ServerPool pool;
+    private final FencingTokens tokens;
+    private final ServerRegistry registry;
+    private final Map<CallerJobId, Set<HostId>> waitingHosts = new HashMap<>();
+    private long registration;
+    private long round;
+    private boolean leaving;
+    private Set<ServerId> assigned = Set.of();
+
+    ZoneDispatcher(HostId host, ZoneId zone, ServerPool pool, FencingTokens tokens, ServerRegistry registry) {
+        this.host = host;
+        this.zone = zone;
+        this.pool = pool;
+        this.tokens = tokens;
+        this.registry = registry;
+    }
+
+    /** Sets the number that the store gave this process. */
+    void registered(long number) {
+        registration = number;
+        tokens.register(number);
+    }
+
+    /** Takes no new jobs; servers are left to the successor as soon as nothing runs there. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Returns what this host says of itself. */
+    HostState state() {
+        return new HostState(host, zone, registration, leaving, round, leaving ? assigned : Set.of(), load());
+    }
+
+    private PoolLoad load() {
+        return round > 0 ? pool.load() : PoolLoad.NONE;
+    }
+
+    boolean dispatching() {
+        return round > 0 && !leaving;
+    }
+
+    boolean idle() {
+        return pool.idle();
+    }
+
+    /** Follows the election and the registry. */
+    void review(Collection<HostState> heard) {
+        if (leaving) {
+            assignWhileLeaving();
+            return;
+        }
+        boolean dispatches = ZoneElection.dispatches(state(), heard);
+        if (dispatches && round == 0) {
+            long highest = heard.stream().mapToLong(HostState::round).max().orElse(0);
+            round = tokens.claim(highest);
+            LOG.event(Logger.Level.INFO, "dispatches from now on")
+                    .with("zone", zone)
+                    .with("round", round)
+                    .with("heard", heard.size())
+                    .write();
+        } else if (!dispatches && round > 0) {
+            round = 0;
+            assigned = Set.of();
+            pool.release("another host dispatches");
+            LOG.event(Logger.Level.INFO, "dispatches no more, another host does")
+                    .with("zone", zone)
+                    .write();
+        }
+        if (round > 0) {
+            assign(heard);
+        }
+    }
+
+    private void assign(Collection<HostState> heard) {
+        Set<ServerId> heldByOthers = new HashSet<>();
+        for (HostState other : heard) {
+            if (other.leaving() && other.zone().equals(zone)) {
+                heldByOthers.addAll(other.held());
+            }
+        }
+        assign(server -> !heldByOthers.contains(server.id()));
+    }
+
+    private void assignWhileLeaving() {
+        if (round == 0) {
+            return;
+        }
+        boolean waiting = pool.load().queuedCoreMillis() > 0;
+        assign(server -> assigned.contains(server.id()) && (waiting || !pool.idle(server.id())));
+    }
+
+    private void assign(Predicate<ServerEntry> wanted) {
+        List<ServerEntry> entries = new ArrayList<>();
+        for (ServerEntry server : registry.in(zone)) {
+            if (wanted.test(server)) {
+                entries.add(server);
+            }
+        }
+        assigned = entries.stream().map(ServerEntry::id).collect(Collectors.toUnmodifiableSet());
+        pool.assign(entries);
+    }
+
+    /** Ends jobs of entry hosts that are not heard any more, and does what is due in the pool. */
+    void tick(Predicate<HostId> hears) {
+        for (Map.Entry<CallerJobId, Set<HostId>> each : List.copyOf(waitingHosts.entrySet())) {
+            each.getValue().removeIf(waiting -> !waiting.equals(host) && !hears.test(waiting));
+            if (each.getValue().isEmpty()) {
+                waitingHosts.remove(each.getKey());
+                pool.cancel(each.getKey(), "the entry host of the caller is silent");
+            }
+        }
+        if (round > 0) {
+            pool.tick();
+        }
+    }
+
+    /** Takes a job that an entry host has read. */
+    void submit(HostId from, PooledJob job, Consumer<JobOutcome> whenEnded) {
+        if (!dispatching()) {
+            whenEnded.accept(JobOutcome.refused("this host does not dispatch", 1));
+            return;
+        }
+        waitingHosts.computeIfAbsent(job.id(), key -> new HashSet<>()).add(from);
+        pool.submit(job, outcome -> {
+            waitingHosts.remove(job.id());
+            whenEnded.accept(outcome);
+        });
+    }
+
+    /** Takes note that a caller at an entry host no longer waits. */
+    void cancel(HostId from, CallerJobId job, String reason) {
+        Set<HostId> waiting = waitingHosts.get(job);
+        if (waiting != null && waiting.remove(from) && waiting.isEmpty()) {
+            waitingHosts.remove(job);
+            pool.cancel(job, reason);
+        }
+    }
+}
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FrameCounter.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/FrameCounter.java
@@ -39,7 +39,7 @@
 
     private static int controlBytes(Frame frame) {
         return switch (frame.getBodyCase()) {
-            case JOB_FORWARD, JOB_FORWARD_REPLY -> 0;
+            case JOB_FORWARD, JOB_FORWARD_REPLY, POOL_JOB, POOL_JOB_REPLY -> 0;
             default -> FramePipeline.PREFIX_BYTES + MessageSplitter.HEADER_BYTES + frame.getSerializedSize();
         };
     }
