--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -75,6 +75,13 @@
         return targetMillis;
     }
 
+    /** Returns until when the job's end is in time if its longest task takes as long as the estimate says. */
+    long estimatedTargetMillis() {
+        return arrivalMillis
+                + (long) (job.terms().stretch() * job.shape().estimateMillis())
+                + job.terms().targetLatencyMillis();
+    }
+
     long usefulUntilMillis() {
         return usefulUntilMillis;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerChoice.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerChoice.java
@@ -9,6 +9,9 @@
  * stay free for long tasks; if there is none, the one on which it ends first. Among equals the one that is left fullest.
  */
 final class ServerChoice {
+    /** Tasks of a job differ in length, and the longest one decides whether the job is in time. */
+    private static final double LENGTH_MARGIN = 1.1;
+
     private final SpeedModel speeds;
     private final double farFactor;
 
@@ -27,7 +30,7 @@
                 continue;
             }
             double millis = expectedMillis(job.shape(), server.entry());
-            boolean inTime = nowMillis + millis <= job.targetMillis();
+            boolean inTime = nowMillis + LENGTH_MARGIN * millis <= job.estimatedTargetMillis();
             if (best == null || better(inTime, millis, server, bestInTime, bestMillis, best)) {
                 best = server;
                 bestMillis = millis;
--- /dev/null
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
@@ -0,0 +1,75 @@
+package org.banyanspoke.core.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.QueueTerms;
+import org.banyanspoke.core.pool.TaskShape;
+import org.junit.jupiter.api.Test;
+
+/** Guards against queues in one zone while another has room, and against traffic between zones without need. */
+class JobRouterTest {
+    private final JobRouter router = new JobRouter(new ZoneId("a"));
+
+    private static HostState dispatcher(String zone, long free, long queuedCoreMillis) {
+        return new HostState(
+                new HostId("h-" + zone),
+                new ZoneId(zone),
+                1,
+                false,
+                1,
+                Set.of(),
+                new PoolLoad(200_000, free, queuedCoreMillis, 0));
+    }
+
+    private static PooledJob job() {
+        return new PooledJob(
+                new CallerJobId("00000000000000aa"),
+                new QueueTerms("q", "s", 0, 3, 1.6, 60),
+                "",
+                8,
+                new TaskShape(7_000, 64, 0, 100, "", "", 0),
+                0,
+                1_500);
+    }
+
+    @Test
+    void aJobStaysInItsZoneWhileThereIsRoom() {
+        assertThat(router.choose(job(), List.of(dispatcher("a", 100_000, 0), dispatcher("b", 200_000, 0))))
+                .map(HostState::zone)
+                .contains(new ZoneId("a"));
+    }
+
+    @Test
+    void aJobLeavesAZoneWithAQueue() {
+        assertThat(router.choose(job(), List.of(dispatcher("a", 0, 20_000), dispatcher("b", 100_000, 0))))
+                .map(HostState::zone)
+                .contains(new ZoneId("b"));
+    }
+
+    @Test
+    void aBurstBetweenTwoStatesIsSpread() {
+        List<HostState> all = List.of(dispatcher("a", 60_000, 0), dispatcher("b", 60_000, 0));
+        Map<ZoneId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 40; i++) {
+            router.choose(job(), all).ifPresent(chosen -> counts.merge(chosen.zone(), 1, Integer::sum));
+        }
+        assertThat(counts.get(new ZoneId("b"))).isBetween(10, 25);
+    }
+
+    @Test
+    void dispatchersWithoutServersOrAboutToStopGetNothing() {
+        HostState leaving =
+                new HostState(new HostId("h"), new ZoneId("a"), 1, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0));
+        HostState empty = new HostState(new HostId("h"), new ZoneId("a"), 1, false, 1, Set.of(), PoolLoad.NONE);
+        assertThat(router.choose(job(), List.of(leaving, empty))).isEmpty();
+    }
+}
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -39,18 +39,23 @@
     private static final long CONFIG_WAIT_MILLIS = 1_000;
     /** Hosts change seldom, and are heard directly. */
     private static final long HOSTS_PAUSE_MILLIS = 1_500;
+    /** The settings file also changes without a signal. */
+    private static final long SETTINGS_PERIOD_MILLIS = 2_000;
     /** Within this time a dispatcher knows of a server that leaves. */
     private static final long SERVERS_PAUSE_MILLIS = 400;
 
     private static final long SERVERS_IDLE_PAUSE_MILLIS = 1_200;
-    /** The platform sends new connections for two checks of a second after the first failed one. */
-    private static final long STOP_LEAST_MILLIS = 2_500;
+    /** The platform sends new connections until two checks, one a second, have failed. */
+    private static final long ROTATION_MILLIS = 2_300;
+    /** Connections of callers are closed by then, so no request comes between the last answer and the end. */
+    private static final long CLOSING_MILLIS = 100;
     /** Left before the process is killed. */
     private static final long STOP_MARGIN_MILLIS = 700;
 
     private static final EventLog LOG = EventLog.of(HostProcess.class);
 
     private final PlatformSettings settings;
+    private final SettingsWatch watch;
     private final MonotonicClock clock = System::nanoTime;
     private final Vertx vertx = Vertx.vertx(new VertxOptions()
             .setEventLoopPoolSize(1)
@@ -66,15 +71,17 @@
     private final ZoneDispatcher dispatcher;
     private final HostLinks links;
     private final JobForwarder jobs;
+    private final CallerServer callers;
     private long registeredMillis = Long.MAX_VALUE;
     private long stopRequestedMillis = -1;
     private Runnable whenStopped = () -> {};
 
-    HostProcess(PlatformSettings settings) {
+    HostProcess(PlatformSettings settings, SettingsWatch watch) {
         this.settings = settings;
+        this.watch = watch;
         this.transport = new PeerTransport(
                 settings.host(), new Incarnation(new SecureRandom().nextLong()), PEER_LIMITS, FrameFilter.NONE);
-        this.store = new StoreClient(vertx, settings.storeAddress());
+        this.store = new StoreClient(vertx, () -> watch.current().storeAddress());
         this.directory = new HostDirectory(settings.host());
         FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
         ServerPool pool = ServerPool.create(new HttpServerOrders(vertx), tokens, settings.pool(), clock, new PoolLog());
@@ -89,6 +96,7 @@
                 dispatcher,
                 config,
                 new JobRouter(settings.zone()));
+        this.callers = new CallerServer(vertx, jobs);
     }
 
     /** Starts everything; returns before the first configuration is known. */
@@ -98,8 +106,7 @@
     }
 
     private void startOnContext() {
-        new CallerServer(vertx, jobs)
-                .start(settings.callerAddress(), settings.readinessAddress())
+        callers.start(settings.callerAddress(), settings.readinessAddress())
                 .onSuccess(unused -> LOG.event(Logger.Level.INFO, "listening")
                         .with("callers", settings.callerAddress())
                         .write())
@@ -112,6 +119,7 @@
         new TopicFollower(vertx, store, SiteTopics.HOSTS, 0, () -> HOSTS_PAUSE_MILLIS, directory).start();
         register();
         vertx.setPeriodic(TICK_MILLIS, unused -> tick());
+        vertx.setPeriodic(SETTINGS_PERIOD_MILLIS, unused -> watch.reload());
     }
 
     private long serversPauseMillis() {
@@ -155,6 +163,11 @@
         }
     }
 
+    /** Reads the settings again. */
+    void reload() {
+        context.runOnContext(unused -> watch.reload());
+    }
+
     /** Stops when all callers have their answers, or the time is up. */
     void stop(Runnable stopped) {
         context.runOnContext(unused -> {
@@ -164,7 +177,9 @@
             whenStopped = stopped;
             stopRequestedMillis = clock.millis();
             jobs.leave();
+            callers.leave();
             dispatcher.leave();
+            vertx.setTimer(ROTATION_MILLIS, none -> callers.close());
             links.tellAll();
         });
     }
@@ -173,7 +188,7 @@
         long elapsedMillis = clock.millis() - stopRequestedMillis;
         boolean idle = jobs.openJobs() == 0 && dispatcher.idle();
         boolean late = elapsedMillis >= settings.stopMillis() - STOP_MARGIN_MILLIS;
-        if (late || (idle && elapsedMillis >= STOP_LEAST_MILLIS)) {
+        if (late || (idle && elapsedMillis > ROTATION_MILLIS + CLOSING_MILLIS)) {
             stopRequestedMillis = -1;
             LOG.event(Logger.Level.INFO, "stopped")
                     .with("openJobs", jobs.openJobs())
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
@@ -6,6 +6,7 @@
 import org.banyanspoke.daemon.logging.Logging;
 import org.banyanspoke.platform.PlatformException;
 import org.banyanspoke.platform.PlatformSettings;
+import sun.misc.Signal;
 
 /** Starts an entry host on the platform. */
 public final class Main {
@@ -17,16 +18,19 @@
     /** Runs until SIGTERM. Exits with 2 if the settings are not valid and 1 if an address cannot be bound. */
     public static void main(String[] args) throws InterruptedException {
         Logging.selectManager();
-        PlatformSettings settings;
+        SettingsWatch watch;
         try {
-            settings = PlatformSettings.load(System.getenv());
+            watch = new SettingsWatch(PlatformSettings.file(System.getenv()));
         } catch (PlatformException e) {
             System.err.println(e.getMessage());
             Runtime.getRuntime().halt(EXIT_SETTINGS);
             return;
         }
+        PlatformSettings settings = watch.current();
         Logging.configure(settings.host(), settings.zone());
-        HostProcess process = new HostProcess(settings);
+        HostProcess process = new HostProcess(settings, watch);
+        // The default action of the Java runtime is to end the process.
+        Signal.handle(new Signal("HUP"), signal -> process.reload());
         try {
             process.start();
         } catch (IOException e) {
--- a/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/TestCluster.java
+++ b/banyanspoke-scenarios/src/main/java/org/banyanspoke/scenarios/cluster/TestCluster.java
@@ -284,6 +284,18 @@
         }
     }
 
+    /** Returns how many events of a kind, such as starts, the backend servers have written so far. */
+    public long countLedger(String event) throws Exception {
+        control(layout.fleetControl(), "/flush", Map.of());
+        long count = 0;
+        for (String line : Files.readAllLines(ledgerFile())) {
+            if (Json.mapper().readTree(line).path("event").asText().equals(event)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Returns the output of every process, for a failed scenario. */
     public String outputs() throws IOException {
         StringBuilder text = new StringBuilder();
--- a/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/steps/ClusterSteps.java
+++ b/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/steps/ClusterSteps.java
@@ -90,6 +90,13 @@
         TestCluster.await(jobs + " reserved jobs", () -> callers.reservedJobs() >= jobs);
     }
 
+    /** A fault that must strike jobs in progress waits for this instead of a pause, which a busy machine outlasts. */
+    @When("{int} tasks have been started and none has ended")
+    public void startedAndNoneEnded(int tasks) throws Exception {
+        TestCluster.await(tasks + " started tasks", () -> cluster.countLedger("start") >= tasks);
+        assertThat(cluster.countLedger("finish")).as("ended tasks").isZero();
+    }
+
     @When("host {int} is killed")
     public void kill(int host) {
         cluster.killHost(host - 1);
@@ -135,6 +142,17 @@
         }
     }
 
+    @When(
+            "callers submit {int} jobs of {int} {idempotence} tasks of {int} ms before each host is restarted gracefully in turn")
+    public void rollingRestartUnderLoad(int jobs, int tasks, boolean idempotent, int runMillis) throws Exception {
+        for (int host = 1; host <= cluster.hosts(); host++) {
+            callers.submit(jobs, tasks, runMillis, idempotent, -1, 1);
+            accepted(jobs * host);
+            stopGracefully(host);
+            startAgain(host);
+        }
+    }
+
     @When("host {int} is cut off from its peers")
     public void cutPeers(int host) throws Exception {
         cluster.setLinks(host - 1, true, false, "silent");
--- a/banyanspoke-scenarios/src/test/resources/features/at_most_once.feature
+++ b/banyanspoke-scenarios/src/test/resources/features/at_most_once.feature
@@ -9,9 +9,10 @@
 
   Scenario: The owner is killed in the middle of its jobs
     Given a system of 3 entry hosts and 4 backend servers
-    When callers submit 6 jobs of 30 non-idempotent tasks of 200 ms through host 1
+    # No task can end within 4 s of its start, so none of the 6 jobs has ended at the kill.
+    When callers submit 6 jobs of 10 non-idempotent tasks of 4000 ms through host 1
     And 6 jobs have been accepted
-    And 500 ms pass
+    And 6 tasks have been started and none has ended
     And host 1 is killed
     And host 1 is started again
     And all callers have their answers
--- a/banyanspoke-scenarios/src/test/resources/features/graceful_stop.feature
+++ b/banyanspoke-scenarios/src/test/resources/features/graceful_stop.feature
@@ -2,8 +2,9 @@
 
   Scenario: Every entry host is restarted in turn under load
     Given a system of 3 entry hosts and 4 backend servers
-    When callers submit 60 jobs of 20 non-idempotent tasks of 100 ms
-    And every host is restarted gracefully in turn
+    # 60 jobs in all, a third before each stop: sent at once they are over before the second stop, and a slow machine
+    # refuses some of them, truly, as more than it can do in the promised time.
+    When callers submit 20 jobs of 20 non-idempotent tasks of 100 ms before each host is restarted gracefully in turn
     And all callers have their answers
     Then all jobs are complete
     And no rule is broken
