Request log with limits, metrics as text, words of the platform held to its folder

One line a decision on a request, with what was believed when it was made: configuration, dispatcher and its round, expected wait, room and queue. Each kind of line has a limit a second; what is left out is counted. Output never blocks a request. Counters and histograms by Dropwizard Metrics in the text format of the Prometheus client library.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolEvents.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolEvents.java
@@ -7,11 +7,21 @@
     /** Ignores everything. */
     PoolEvents NONE = new PoolEvents() {};
 
-    /** A job was taken. */
-    default void accepted(PooledJob job, long expectedWaitMillis, PoolLoad load) {}
-
-    /** A job has ended. */
-    default void ended(PooledJob job, JobOutcome outcome, long waitedMillis, long totalMillis) {}
+    /**
+     * A job has ended or was refused.
+     *
+     * @param load how full the pool is now
+     * @param expectedWaitMillis wait that was expected when the job came; -1 if no server could run it
+     * @param waitedMillis from its arrival to its first start, or to its end without a start
+     * @param totalMillis from its arrival to its end
+     */
+    default void ended(
+            PooledJob job,
+            JobOutcome outcome,
+            PoolLoad load,
+            long expectedWaitMillis,
+            long waitedMillis,
+            long totalMillis) {}
 
     /** A run has been ordered. */
     default void started(RunKey run, ServerId server, long expectedMillis) {}
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -128,7 +128,8 @@
             return;
         }
         long waitMillis = expectedWaitMillis(progress, nowMillis);
-        if (waitMillis == Long.MAX_VALUE) {
+        progress.expectWait(waitMillis);
+        if (waitMillis == JobProgress.NO_SERVER) {
             refuse(progress, "no server can run this job now", 2 * SHORTEST_RETRY_MILLIS);
             return;
         }
@@ -137,7 +138,6 @@
             return;
         }
         jobs.put(job.id(), progress);
-        events.accepted(job, waitMillis, load());
         queue.add(progress);
         dispatch();
     }
@@ -146,7 +146,7 @@
         end(progress, JobOutcome.refused(reason, Math.max(SHORTEST_RETRY_MILLIS, retryAfterMillis)));
     }
 
-    /** Returns how long the last task of a job would wait, by estimates; the longest time if no server could run it. */
+    /** Returns how long the last task of a job would wait, by estimates. */
     private long expectedWaitMillis(JobProgress progress, long nowMillis) {
         long capacity = 0;
         long free = 0;
@@ -159,7 +159,7 @@
             }
         }
         if (capacity == 0) {
-            return Long.MAX_VALUE;
+            return JobProgress.NO_SERVER;
         }
         double aheadWork = 0;
         for (JobProgress other : queue.all()) {
@@ -206,7 +206,13 @@
         long waitedMillis = (progress.started() ? progress.firstStartMillis() : nowMillis) - progress.arrivalMillis();
         queue.remove(progress);
         progress.end(outcome);
-        events.ended(progress.job(), outcome, waitedMillis, nowMillis - progress.arrivalMillis());
+        events.ended(
+                progress.job(),
+                outcome,
+                load(),
+                progress.expectedWaitMillis(),
+                waitedMillis,
+                nowMillis - progress.arrivalMillis());
         for (RunKey run : progress.runKeys()) {
             OwnedServer server = progress.serverOf(run);
             Run there = server.run(run);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -20,6 +20,9 @@
 
 /** A job that has been taken and not answered, or whose last runs are being stopped. */
 final class JobProgress {
+    /** The wait that is expected when no server can run the job. */
+    static final long NO_SERVER = -1;
+
     private final PooledJob job;
     private final long arrivalMillis;
     private final long targetMillis;
@@ -30,6 +33,7 @@
     private final Map<Integer, Integer> failures = new HashMap<>();
     private final Map<Integer, Set<ServerId>> failedOn = new HashMap<>();
     private final Map<RunKey, OwnedServer> runs = new HashMap<>();
+    private long expectedWaitMillis = NO_SERVER;
     private int done;
     private boolean started;
     private long firstStartMillis;
@@ -94,6 +98,14 @@
         waiting.add(whenEnded);
     }
 
+    long expectedWaitMillis() {
+        return expectedWaitMillis;
+    }
+
+    void expectWait(long millis) {
+        expectedWaitMillis = millis;
+    }
+
     int pendingTasks() {
         return pending.size();
     }
--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
@@ -7,10 +7,14 @@
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.Logger;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /** Sets up JBoss LogManager. */
 public final class Logging {
+    /** Lines that may wait for a slow reader of the output. */
+    private static final int QUEUED_LINES = 2_000;
+
     private Logging() {}
 
     /** Selects the log manager. Must run before any class of the process asks for a logger. */
@@ -22,23 +26,31 @@
 
     /** Sends all log lines at or above the level of the settings to standard error as JSON. */
     public static void configure(Settings settings) {
-        configure(settings.host().id(), settings.host().zone(), ConsoleHandler.Target.SYSTEM_ERR, level(settings));
+        configure(
+                console(settings.host().id(), settings.host().zone(), ConsoleHandler.Target.SYSTEM_ERR),
+                level(settings));
     }
 
-    /** Sends all log lines from INFO to standard output as JSON. */
+    /** Sends all log lines from INFO to standard output as JSON. Lines are left out rather than waited for. */
     public static void configure(HostId host, ZoneId zone) {
-        configure(host, zone, ConsoleHandler.Target.SYSTEM_OUT, Level.INFO);
+        AsyncHandler handler = new AsyncHandler(QUEUED_LINES);
+        handler.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        handler.addHandler(console(host, zone, ConsoleHandler.Target.SYSTEM_OUT));
+        configure(handler, Level.INFO);
     }
 
-    private static void configure(
-            HostId host, ZoneId zone, ConsoleHandler.Target target, java.util.logging.Level level) {
-        Logger root = LogContext.getLogContext().getLogger("");
-        for (java.util.logging.Handler handler : root.getHandlers()) {
-            root.removeHandler(handler);
-        }
+    private static ConsoleHandler console(HostId host, ZoneId zone, ConsoleHandler.Target target) {
         Map<String, String> hostFields = Map.of("host", host.value(), "zone", zone.value());
         ConsoleHandler handler = new ConsoleHandler(target, new JsonLineFormatter(hostFields));
         handler.setLevel(Level.ALL);
+        return handler;
+    }
+
+    private static void configure(java.util.logging.Handler handler, java.util.logging.Level level) {
+        Logger root = LogContext.getLogContext().getLogger("");
+        for (java.util.logging.Handler each : root.getHandlers()) {
+            root.removeHandler(each);
+        }
         root.addHandler(handler);
         root.setLevel(level);
     }
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
@@ -0,0 +1,112 @@
+package org.banyanspoke.host;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.function.LongSupplier;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolEvents;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.RunKey;
+import org.banyanspoke.core.pool.ServerOrders.EndKind;
+import org.banyanspoke.daemon.logging.EventLog;
+import org.jboss.logging.Logger;
+
+/** Counters and histograms of a host, served as text. */
+final class HostMetrics implements PoolEvents {
+    private static final String PATH = "/metrics";
+    private static final EventLog LOG = EventLog.of(HostMetrics.class);
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final CollectorRegistry exports = new CollectorRegistry();
+
+    HostMetrics() {
+        exports.register(new DropwizardExports(registry));
+    }
+
+    /** Adds a value that is read for each report. */
+    void gauge(String name, LongSupplier value) {
+        Gauge<Long> gauge = value::getAsLong;
+        registry.register(name, gauge);
+    }
+
+    /** Counts an answer of this host to a caller. */
+    void answered(PooledJob job, JobOutcome outcome, long totalMillis) {
+        registry.counter("entry.answers." + outcome.kind().name()).inc();
+        registry.histogram("entry.total_millis." + job.terms().priority()).update(totalMillis);
+    }
+
+    /** Counts an attempt to claim or lose the zone. */
+    void dispatchingChanged() {
+        registry.counter("dispatcher.changes").inc();
+    }
+
+    @Override
+    public void ended(
+            PooledJob job,
+            JobOutcome outcome,
+            PoolLoad load,
+            long expectedWaitMillis,
+            long waitedMillis,
+            long totalMillis) {
+        int priority = job.terms().priority();
+        registry.counter("pool.jobs." + outcome.kind().name()).inc();
+        registry.histogram("pool.waiting_millis." + priority).update(waitedMillis);
+        registry.histogram("pool.total_millis." + priority).update(totalMillis);
+    }
+
+    @Override
+    public void started(RunKey run, ServerId server, long expectedMillis) {
+        registry.counter("pool.starts").inc();
+    }
+
+    @Override
+    public void runEnded(RunKey run, ServerId server, EndKind kind, long runMillis) {
+        registry.counter("pool.run_ends." + kind.name()).inc();
+    }
+
+    @Override
+    public void serverChanged(ServerId server, String state, String reason) {
+        registry.counter("pool.servers." + state).inc();
+    }
+
+    /** Serves the metrics. A port that cannot be bound is logged; the host goes on without. */
+    void serve(Vertx vertx, String ip, int port) {
+        vertx.createHttpServer()
+                .requestHandler(this::onRequest)
+                .listen(port, ip)
+                .onFailure(e -> LOG.event(Logger.Level.ERROR, "metrics are not served")
+                        .with("port", port)
+                        .with("reason", e.getMessage())
+                        .write());
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        if (!request.path().equals(PATH)) {
+            var unused = request.response().setStatusCode(404).end();
+            return;
+        }
+        var unused = request.response()
+                .putHeader("Content-Type", TextFormat.CONTENT_TYPE_004)
+                .end(text());
+    }
+
+    /** Returns all metrics as text. */
+    String text() {
+        StringWriter writer = new StringWriter();
+        try {
+            TextFormat.write004(writer, exports.metricFamilySamples());
+        } catch (IOException e) {
+            throw new IllegalStateException("a string cannot be written", e);
+        }
+        return writer.toString();
+    }
+}
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -5,10 +5,12 @@
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.List;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.JobRouter;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.SiteConfig;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.peer.FrameFilter;
@@ -56,6 +58,7 @@
 
     private final PlatformSettings settings;
     private final SettingsWatch watch;
+    private final int metricsPort;
     private final MonotonicClock clock = System::nanoTime;
     private final Vertx vertx = Vertx.vertx(new VertxOptions()
             .setEventLoopPoolSize(1)
@@ -67,6 +70,8 @@
     private final StoreClient store;
     private final ConfigWatch config = new ConfigWatch();
     private final ServerRegistry registry = new ServerRegistry(clock);
+    private final RequestLog requestLog = new RequestLog(clock);
+    private final HostMetrics metrics = new HostMetrics();
     private final HostDirectory directory;
     private final ZoneDispatcher dispatcher;
     private final HostLinks links;
@@ -76,7 +81,11 @@
     private long stopRequestedMillis = -1;
     private Runnable whenStopped = () -> {};
 
-    HostProcess(PlatformSettings settings, SettingsWatch watch) {
+    /**
+     * @param metricsPort port of the metrics on this host's address
+     */
+    HostProcess(PlatformSettings settings, SettingsWatch watch, int metricsPort) {
+        this.metricsPort = metricsPort;
         this.settings = settings;
         this.watch = watch;
         this.transport = new PeerTransport(
@@ -84,7 +93,12 @@
         this.store = new StoreClient(vertx, () -> watch.current().storeAddress());
         this.directory = new HostDirectory(settings.host());
         FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
-        ServerPool pool = ServerPool.create(new HttpServerOrders(vertx), tokens, settings.pool(), clock, new PoolLog());
+        ServerPool pool = ServerPool.create(
+                new HttpServerOrders(vertx),
+                tokens,
+                settings.pool(),
+                clock,
+                new AllPoolEvents(List.of(new PoolLog(requestLog), metrics)));
         this.dispatcher = new ZoneDispatcher(settings.host(), settings.zone(), pool, tokens, registry);
         this.links = new HostLinks(transport, context, directory, clock, dispatcher::state);
         this.jobs = new JobForwarder(
@@ -95,7 +109,8 @@
                 links,
                 dispatcher,
                 config,
-                new JobRouter(settings.zone()));
+                new JobRouter(settings.zone()),
+                new EntryObserver(clock, requestLog, metrics));
         this.callers = new CallerServer(vertx, jobs);
     }
 
@@ -118,10 +133,27 @@
         new TopicFollower(vertx, store, SiteTopics.SERVERS, 0, this::serversPauseMillis, registry).start();
         new TopicFollower(vertx, store, SiteTopics.HOSTS, 0, () -> HOSTS_PAUSE_MILLIS, directory).start();
         register();
+        serveMetrics();
         vertx.setPeriodic(TICK_MILLIS, unused -> tick());
         vertx.setPeriodic(SETTINGS_PERIOD_MILLIS, unused -> watch.reload());
     }
 
+    private void serveMetrics() {
+        metrics.gauge("entry.open_jobs", jobs::openJobs);
+        metrics.gauge(
+                "entry.config_version",
+                () -> config.config().map(SiteConfig::version).orElse(0L));
+        metrics.gauge("peers.heard", () -> links.heard().size());
+        metrics.gauge("dispatcher.round", () -> dispatcher.state().round());
+        metrics.gauge(
+                "pool.capacity_millicores", () -> dispatcher.state().load().capacityMillicores());
+        metrics.gauge("pool.free_millicores", () -> dispatcher.state().load().freeMillicores());
+        metrics.gauge("pool.queued_core_millis", () -> dispatcher.state().load().queuedCoreMillis());
+        metrics.gauge("pool.queued_jobs", () -> dispatcher.state().load().queuedJobs());
+        String peerAddress = settings.peerAddress();
+        metrics.serve(vertx, peerAddress.substring(0, peerAddress.lastIndexOf(':')), metricsPort);
+    }
+
     private long serversPauseMillis() {
         return dispatcher.dispatching() ? SERVERS_PAUSE_MILLIS : SERVERS_IDLE_PAUSE_MILLIS;
     }
@@ -154,6 +186,7 @@
             boolean before = dispatcher.dispatching();
             dispatcher.review(links.heard());
             if (before != dispatcher.dispatching()) {
+                metrics.dispatchingChanged();
                 links.tellAll();
             }
         }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -39,6 +39,7 @@
     private final ZoneDispatcher dispatcher;
     private final ConfigWatch config;
     private final JobRouter router;
+    private final EntryObserver observer;
     private final Map<CallerJobId, HostId> open = new HashMap<>();
     private boolean leaving;
 
@@ -50,7 +51,8 @@
             HostLinks links,
             ZoneDispatcher dispatcher,
             ConfigWatch config,
-            JobRouter router) {
+            JobRouter router,
+            EntryObserver observer) {
         this.host = host;
         this.transport = transport;
         this.context = context;
@@ -59,6 +61,7 @@
         this.dispatcher = dispatcher;
         this.config = config;
         this.router = router;
+        this.observer = observer;
         transport.handle(Frame.BodyCase.POOL_JOB, this::onPeerJob);
         transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, this::onPeerCancel);
     }
@@ -92,15 +95,16 @@
     @Override
     public void submit(PooledJob job, Consumer<JobOutcome> whenEnded) {
         Optional<HostState> target = router.choose(job, dispatchers());
+        Consumer<JobOutcome> answer = observer.observe(job, target, config.config(), whenEnded);
         if (target.isEmpty()) {
-            whenEnded.accept(JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
+            answer.accept(JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
             return;
         }
         HostId to = target.get().host();
         open.put(job.id(), to);
         Consumer<JobOutcome> ended = outcome -> {
             open.remove(job.id(), to);
-            whenEnded.accept(outcome);
+            answer.accept(outcome);
         };
         if (to.equals(host)) {
             dispatcher.submit(host, job, ended);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolLog.java
@@ -3,34 +3,76 @@
 import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolEvents;
+import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.pool.PooledJob;
-import org.banyanspoke.daemon.logging.EventLog;
-import org.jboss.logging.Logger;
+import org.banyanspoke.core.pool.RunKey;
+import org.banyanspoke.core.pool.ServerOrders.EndKind;
 
-/** Writes what a pool decides. */
+/** Writes what a pool decides on jobs that did not go well, and what it believes of servers. */
 final class PoolLog implements PoolEvents {
-    private static final EventLog LOG = EventLog.of(PoolLog.class);
+    private final RequestLog log;
+
+    PoolLog(RequestLog log) {
+        this.log = log;
+    }
 
     @Override
-    public void ended(PooledJob job, JobOutcome outcome, long waitedMillis, long totalMillis) {
-        Logger.Level level = outcome.kind() == JobOutcome.Kind.COMPLETED ? Logger.Level.DEBUG : Logger.Level.INFO;
-        LOG.event(level, "job ended")
+    public void ended(
+            PooledJob job,
+            JobOutcome outcome,
+            PoolLoad load,
+            long expectedWaitMillis,
+            long waitedMillis,
+            long totalMillis) {
+        RequestLog.Kind kind =
+                switch (outcome.kind()) {
+                    case COMPLETED -> null;
+                    case REFUSED -> RequestLog.Kind.REFUSED;
+                    default -> RequestLog.Kind.NOT_DONE;
+                };
+        if (kind == null || !log.admits(kind)) {
+            return;
+        }
+        log.line(kind, "dispatcher ended a job")
                 .with("job", job.id())
                 .with("queue", job.terms().name())
+                .with("priority", job.terms().priority())
                 .with("outcome", outcome.kind())
                 .with("reason", outcome.reason())
-                .with("waitedMillis", waitedMillis)
-                .with("totalMillis", totalMillis)
                 .with("tasks", job.tasks())
                 .with("estimateMillis", job.shape().estimateMillis())
+                .with("patienceMillis", job.patienceMillis())
+                .with("expectedWaitMillis", expectedWaitMillis)
+                .with("waitedMillis", waitedMillis)
+                .with("totalMillis", totalMillis)
+                .with("capacityMillicores", load.capacityMillicores())
+                .with("freeMillicores", load.freeMillicores())
+                .with("queuedCoreMillis", load.queuedCoreMillis())
                 .write();
     }
 
     @Override
-    public void serverChanged(ServerId server, String state, String reason) {
-        LOG.event(Logger.Level.INFO, "server " + state)
+    public void runEnded(RunKey run, ServerId server, EndKind kind, long runMillis) {
+        if (kind == EndKind.DONE || !log.admits(RequestLog.Kind.RUN_LOST)) {
+            return;
+        }
+        log.line(RequestLog.Kind.RUN_LOST, "a run ended without result")
+                .with("job", run.task().job())
+                .with("task", run.task().index())
+                .with("run", run.number())
                 .with("server", server)
-                .with("reason", reason)
+                .with("end", kind)
+                .with("runMillis", runMillis)
                 .write();
     }
+
+    @Override
+    public void serverChanged(ServerId server, String state, String reason) {
+        if (log.admits(RequestLog.Kind.SERVER)) {
+            log.line(RequestLog.Kind.SERVER, "server " + state)
+                    .with("server", server)
+                    .with("reason", reason)
+                    .write();
+        }
+    }
 }
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ConfigWatchTest.java
@@ -0,0 +1,32 @@
+package org.banyanspoke.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.banyanspoke.platform.StoreClient;
+import org.junit.jupiter.api.Test;
+
+/** Guards against going back to an older configuration, which pages of the store may show once more. */
+class ConfigWatchTest {
+    private final ConfigWatch watch = new ConfigWatch();
+
+    private static StoreClient.Entry version(String number) {
+        String value = "{\"version\":" + number + ",\"routes\":[]}";
+        return new StoreClient.Entry("config", value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void theNewestVersionStays() {
+        watch.onAll(List.of(version("7")));
+        watch.onChanges(List.of(version("9"), version("8")));
+        assertThat(watch.config().orElseThrow().version()).isEqualTo(9);
+    }
+
+    @Test
+    void aBrokenVersionLeavesTheOlderOneInForce() {
+        watch.onAll(List.of(version("7")));
+        watch.onChanges(List.of(version("\"x\"")));
+        assertThat(watch.config().orElseThrow().version()).isEqualTo(7);
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -0,0 +1,47 @@
+package org.banyanspoke.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.QueueTerms;
+import org.banyanspoke.core.pool.TaskShape;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a field that is lost on the way to another host. */
+class PoolMessagesTest {
+    @Test
+    void aJobArrivesWhole() {
+        PooledJob job = new PooledJob(
+                new CallerJobId("00000000000000aa"),
+                new QueueTerms("q", "s", 2, 3, 1.6, 60),
+                "payload",
+                8,
+                new TaskShape(6_800, 64, 1, 100, "label", "rack", 2),
+                12,
+                1_500);
+        assertThat(PoolMessages.decode(PoolMessages.encode(job))).isEqualTo(job);
+    }
+
+    @Test
+    void aStateArrivesWhole() {
+        HostState state = new HostState(
+                new HostId("h"), new ZoneId("a"), 3, true, 9, Set.of(new ServerId("s1")), new PoolLoad(4, 3, 2, 1));
+        assertThat(PoolMessages.decode(PoolMessages.encode(state))).isEqualTo(state);
+    }
+
+    @Test
+    void everyOutcomeArrives() {
+        for (JobOutcome.Kind kind : JobOutcome.Kind.values()) {
+            JobOutcome outcome = new JobOutcome(kind, "reason", 7);
+            assertThat(PoolMessages.decode(PoolMessages.encode(outcome))).isEqualTo(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
@@ -0,0 +1,52 @@
+package org.banyanspoke.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.platform.StoreClient;
+import org.junit.jupiter.api.Test;
+
+/** Guards against giving up living servers whose entries lapsed while the store was away, and against keeping dead ones. */
+class ServerRegistryTest {
+    private static final ZoneId ZONE = new ZoneId("a");
+    private final AtomicLong nowMillis = new AtomicLong(10_000);
+    private final ServerRegistry registry = new ServerRegistry(() -> nowMillis.get() * 1_000_000);
+
+    private static StoreClient.Entry entry(String id) {
+        String value = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"state\":\"ready\","
+                + "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}";
+        return new StoreClient.Entry(id, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static StoreClient.Entry removed(String id) {
+        return new StoreClient.Entry(id, new byte[0]);
+    }
+
+    @Test
+    void anEntryThatComesBackIsKeptAllTheWhile() {
+        registry.onAll(List.of(entry("i-1")));
+        registry.onChanges(List.of(removed("i-1")));
+        nowMillis.addAndGet(1_900);
+        assertThat(registry.in(ZONE)).hasSize(1);
+        registry.onChanges(List.of(entry("i-1")));
+        nowMillis.addAndGet(10_000);
+        assertThat(registry.in(ZONE)).hasSize(1);
+    }
+
+    @Test
+    void anEntryThatStaysAwayIsGone() {
+        registry.onAll(List.of(entry("i-1"), entry("i-2")));
+        registry.onAll(List.of(entry("i-2")));
+        nowMillis.addAndGet(2_600);
+        assertThat(registry.in(ZONE)).hasSize(1);
+    }
+
+    @Test
+    void anEntryThatCannotBeReadLeavesTheOthers() {
+        registry.onAll(List.of(new StoreClient.Entry("i-0", new byte[] {1, 2}), entry("i-1")));
+        assertThat(registry.in(ZONE)).hasSize(1);
+    }
+}
--- a/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/ArchitectureTest.java
+++ b/banyanspoke-scenarios/src/test/java/org/banyanspoke/scenarios/ArchitectureTest.java
@@ -1,11 +1,19 @@
 package org.banyanspoke.scenarios;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Instant;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -75,6 +83,49 @@
         }
     }
 
+    /** Names of the platform's wire stand in the folder platform/ only. */
+    @Nested
+    class WordsOfThePlatform {
+        private static final Pattern WORDS = Pattern.compile(
+                "run-start|run-stop|log-append|log-newest|log-read|fencing_token|ack_cursor|est_runtime_ms|"
+                        + "X-Banyanspoke|BANYANSPOKE_SETTINGS|path_prefix|keyed\\.");
+
+        @Test
+        void standInNoOtherModule() throws IOException {
+            Path root = Path.of("").toAbsolutePath();
+            while (!Files.exists(root.resolve("platform/pom.xml"))) {
+                root = root.getParent();
+            }
+            Path top = root;
+            try (Stream<Path> files = Files.walk(top)) {
+                List<Path> found = files.filter(file -> file.toString().endsWith(".java"))
+                        .filter(file -> file.toString().contains("/src/main/"))
+                        .filter(file -> !file.startsWith(top.resolve("platform")))
+                        .filter(WordsOfThePlatform::usesAWord)
+                        .toList();
+                assertThat(found).isEmpty();
+            }
+        }
+
+        private static boolean usesAWord(Path file) {
+            try {
+                return WORDS.matcher(Files.readString(file)).find();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Test
+        void nothingInTheFolderDecides() {
+            noDependency("platform", "core.ownership", "core.pool.internal", "peer", "daemon", "host");
+        }
+
+        @Test
+        void coreDoesNotKnowTheAdapter() {
+            noDependency("core", "platform", "host");
+        }
+    }
+
     @Nested
     class DecisionLogic {
         @Test
