--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/CommandLine.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/CommandLine.java
@@ -17,6 +17,7 @@
 import org.banyanspoke.cli.commands.AdminCommands;
 import org.banyanspoke.cli.commands.Command;
 import org.banyanspoke.cli.commands.JobCommands;
+import org.banyanspoke.cli.commands.LogCommands;
 import org.banyanspoke.cli.commands.SettingsCommands;
 import org.banyanspoke.client.ConnectionFailedException;
 
@@ -81,6 +82,7 @@
         new JobCommands(connection, input).register(commands);
         new AdminCommands(connection, input).register(commands);
         new SettingsCommands(input).register(commands);
+        new LogCommands(input).register(commands);
         return parser;
     }
 }
