--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -33,8 +33,6 @@
     private static final long HUNG_MILLIS = 150;
     /** and has done less than this share of its work. */
     private static final int HUNG_PERCENT = 60;
-    /** Waiting jobs are looked at again this often. */
-    private static final long REVIEW_MILLIS = 100;
     /** Callers of refused jobs come back no sooner. */
     private static final long SHORTEST_RETRY_MILLIS = 200;
 
@@ -51,7 +49,6 @@
     private final SpeedModel speeds = new SpeedModel();
     private final ServerChoice choice;
     private final OwnedServer.Listener serverListener = new ServerListener();
-    private long nextReviewMillis;
     private boolean dispatching;
     private boolean dispatchAgain;
 
@@ -252,7 +249,6 @@
         forgetIdleLeaving();
         reclaim(nowMillis);
         endOverdue(nowMillis);
-        refuseHopeless(nowMillis);
         stopHung(nowMillis);
         dispatch();
     }
@@ -282,26 +278,6 @@
         }
     }
 
-    /** More urgent jobs that came later may have taken the room that a waiting job was expected to get. */
-    private void refuseHopeless(long nowMillis) {
-        PoolLoad load = load();
-        if (nowMillis < nextReviewMillis || load.capacityMillicores() == 0) {
-            return;
-        }
-        nextReviewMillis = nowMillis + REVIEW_MILLIS;
-        double aheadWork = 0;
-        for (JobProgress progress : queue.ordered(nowMillis)) {
-            double ownWork = waitingWork(progress);
-            double freeNow = (double) load.freeMillicores() * progress.shape().estimateMillis();
-            long waitMillis = (long) (Math.max(0, aheadWork + ownWork / 2 - freeNow) / load.capacityMillicores());
-            if (!progress.started() && nowMillis + waitMillis + bestMillis(progress) > progress.usefulUntilMillis()) {
-                refuse(progress, "expected to wait " + waitMillis + " ms more", waitMillis);
-            } else {
-                aheadWork += ownWork;
-            }
-        }
-    }
-
     private void stopHung(long nowMillis) {
         for (OwnedServer server : servers.values()) {
             for (Run run : server.runs()) {
