--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
@@ -34,7 +34,7 @@
     /** Ends a job and stops its runs, if it is in progress. */
     void cancel(CallerJobId id, String reason);
 
-    /** Ends all jobs and forgets all servers without another order: somebody else owns them. */
+    /** Ends all jobs, stops their runs on servers that still obey, and forgets all servers: somebody else owns them. */
     void release(String reason);
 
     /** Does what is due. Must be called every few milliseconds while there are jobs. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -145,6 +145,8 @@
     void claim(long newToken) {
         token = newToken;
         state = State.CLAIMING;
+        // The owner before may have extended the lease until now.
+        noteDeadline();
         nextRenewalMillis = clock.millis();
         renewIfDue(clock.millis());
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
@@ -234,6 +237,28 @@
             assertThat(later.kind(new CallerJobId("00000000000000ff"))).isEqualTo(Kind.COMPLETED);
         }
 
+        /** What runs at a claim counts as there until the server lists its end, whatever the new owner has ordered. */
+        @Test
+        void doesNotTakeAServerForSilentBecauseItHasOrderedNothingThere() {
+            own(1);
+            world.runMillis = run -> 800;
+            jobs.submit(SimulatedJobs.LONG, 2, 900);
+            world.run(pool, 100);
+            List<String> states = new ArrayList<>();
+            FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + world.millis());
+            tokens.register(2);
+            tokens.claim(0);
+            ServerPool successor = ServerPool.create(world, tokens, LIMITS, world, new PoolEvents() {
+                @Override
+                public void serverChanged(ServerId server, String state, String reason) {
+                    states.add(state);
+                }
+            });
+            successor.assign(world.entries());
+            world.run(successor, 300);
+            assertThat(states).containsExactly("usable");
+        }
+
         @Test
         void makesTheOldOwnerAnswerItsCallers() {
             own(2);
