Dispatchers are the strongest hosts of their zone; a refused job goes to another zone that can still do it

Change: hosts tell their processor capacity; the strongest follows, and a dispatcher hands its servers over to a host that is 1.5 times as strong, each when nothing runs there.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/JobRouter.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/JobRouter.java
@@ -35,6 +35,15 @@
 
     /** Returns the dispatcher to send a job to; empty if there is none with servers. */
     public Optional<HostState> choose(PooledJob job, Collection<HostState> dispatchers) {
+        return choose(job, dispatchers, Double.POSITIVE_INFINITY);
+    }
+
+    /** Returns the dispatcher to send a job to; empty if none is expected to begin while the end is of use. */
+    public Optional<HostState> chooseInTime(PooledJob job, Collection<HostState> dispatchers) {
+        return choose(job, dispatchers, job.usefulMillis() - job.ageMillis() - job.shortestMillis());
+    }
+
+    private Optional<HostState> choose(PooledJob job, Collection<HostState> dispatchers, double longestWaitMillis) {
         HostState best = null;
         double bestMillis = 0;
         for (HostState each : dispatchers) {
@@ -42,7 +51,7 @@
                 continue;
             }
             double millis = expectedWaitMillis(job, each) + (each.zone().equals(ownZone) ? 0 : WAY_MILLIS);
-            if (best == null || millis < bestMillis) {
+            if (millis <= longestWaitMillis && (best == null || millis < bestMillis)) {
                 best = each;
                 bestMillis = millis;
             }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -118,10 +118,7 @@
         long nowMillis = clock.millis();
         long arrivalMillis = nowMillis - job.ageMillis();
         JobProgress progress = new JobProgress(
-                job,
-                arrivalMillis,
-                arrivalMillis + JobTimes.targetMillis(job),
-                arrivalMillis + JobTimes.usefulMillis(job));
+                job, arrivalMillis, arrivalMillis + job.targetMillis(), arrivalMillis + job.usefulMillis());
         progress.addWaiting(whenEnded);
         if (known != null) {
             refuse(progress, "an earlier run of this job is being stopped", SHORTEST_RETRY_MILLIS);
@@ -133,7 +130,7 @@
             refuse(progress, "no server can run this job now", 2 * SHORTEST_RETRY_MILLIS);
             return;
         }
-        if (nowMillis + waitMillis + bestMillis(progress) > progress.usefulUntilMillis()) {
+        if (!job.usefulAfter(waitMillis)) {
             refuse(progress, "expected to wait " + waitMillis + " ms", waitMillis);
             return;
         }
@@ -178,11 +175,6 @@
                 * job.shape().estimateMillis();
     }
 
-    /** Returns the shortest time that a task can take, with some allowance for estimates that are too high. */
-    private static long bestMillis(JobProgress progress) {
-        return progress.shape().estimateMillis() / 2;
-    }
-
     @Override
     public void cancel(CallerJobId id, String reason) {
         JobProgress progress = jobs.get(id);
@@ -272,7 +264,8 @@
             }
             if (nowMillis >= progress.patienceEndMillis()) {
                 giveUp(progress, "the caller's deadline has passed");
-            } else if (!progress.started() && nowMillis + bestMillis(progress) > progress.usefulUntilMillis()) {
+            } else if (!progress.started()
+                    && nowMillis + progress.job().shortestMillis() > progress.usefulUntilMillis()) {
                 refuse(progress, "waited too long for room", SHORTEST_RETRY_MILLIS);
             }
         }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
@@ -24,6 +24,7 @@
                 new HostId("h-" + zone),
                 new ZoneId(zone),
                 1,
+                1_000,
                 false,
                 1,
                 Set.of(),
@@ -68,8 +69,8 @@
     @Test
     void dispatchersWithoutServersOrAboutToStopGetNothing() {
         HostState leaving =
-                new HostState(new HostId("h"), new ZoneId("a"), 1, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0));
-        HostState empty = new HostState(new HostId("h"), new ZoneId("a"), 1, false, 1, Set.of(), PoolLoad.NONE);
+                new HostState(new HostId("h"), new ZoneId("a"), 1, 1_000, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0));
+        HostState empty = new HostState(new HostId("h"), new ZoneId("a"), 1, 1_000, false, 1, Set.of(), PoolLoad.NONE);
         assertThat(router.choose(job(), List.of(leaving, empty))).isEmpty();
     }
 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/ZoneElectionTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/ZoneElectionTest.java
@@ -12,11 +12,19 @@
 
 /** Guards against zones without a dispatcher and against two that both go on. */
 class ZoneElectionTest {
+    private static final long PROCESSOR_MILLICORES = 1_000;
+
     private static HostState host(String zone, long registration, boolean leaving, long round) {
+        return host(zone, registration, PROCESSOR_MILLICORES, leaving, round);
+    }
+
+    private static HostState host(
+            String zone, long registration, long processorMillicores, boolean leaving, long round) {
         return new HostState(
                 new HostId("h" + registration),
                 new ZoneId(zone),
                 registration,
+                processorMillicores,
                 leaving,
                 round,
                 Set.of(),
@@ -78,4 +86,44 @@
             assertThat(ZoneElection.dispatches(young, List.of(old))).isTrue();
         }
     }
+
+    /** A dispatcher on a weak host falls behind and delays every job of its zone. */
+    @Nested
+    class HostsOfUnequalStrength {
+        private final HostState weak = host("a", 1, 270, false, 0);
+        private final HostState strong = host("a", 2, 1_500, false, 0);
+
+        @Test
+        void theStrongestFollowsThoughItIsYounger() {
+            assertThat(ZoneElection.dispatches(strong, List.of(weak))).isTrue();
+            assertThat(ZoneElection.dispatches(weak, List.of(strong))).isFalse();
+        }
+
+        @Test
+        void aWeakDispatcherHandsOverToAMuchStrongerHost() {
+            HostState dispatcher = host("a", 1, 270, false, 5);
+            assertThat(ZoneElection.handsOver(dispatcher, List.of(strong))).isTrue();
+            assertThat(ZoneElection.dispatches(strong, List.of(host("a", 1, 270, true, 5))))
+                    .isTrue();
+        }
+
+        @Test
+        void aLittleMoreIsNotWorthAHandover() {
+            HostState dispatcher = host("a", 1, 1_000, false, 5);
+            assertThat(ZoneElection.handsOver(dispatcher, List.of(host("a", 2, 1_200, false, 0))))
+                    .isFalse();
+        }
+
+        @Test
+        void hostsOfOtherZonesOrAboutToStopOrWithoutNumberAreNoSuccessors() {
+            HostState dispatcher = host("a", 1, 270, false, 5);
+            assertThat(ZoneElection.handsOver(
+                            dispatcher,
+                            List.of(
+                                    host("b", 2, 1_500, false, 0),
+                                    host("a", 3, 1_500, true, 0),
+                                    host("a", 0, 1_500, false, 0))))
+                    .isFalse();
+        }
+    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -99,7 +99,8 @@
                 settings.pool(),
                 clock,
                 new AllPoolEvents(List.of(new PoolLog(requestLog), metrics)));
-        this.dispatcher = new ZoneDispatcher(settings.host(), settings.zone(), pool, tokens, registry);
+        this.dispatcher = new ZoneDispatcher(
+                settings.host(), settings.zone(), settings.processorMillicores(), pool, tokens, registry);
         this.links = new HostLinks(transport, context, directory, clock, dispatcher::state);
         this.jobs = new JobForwarder(
                 settings.host(),
@@ -110,7 +111,8 @@
                 dispatcher,
                 config,
                 new JobRouter(settings.zone()),
-                new EntryObserver(clock, requestLog, metrics));
+                new EntryObserver(requestLog, metrics),
+                clock);
         this.callers = new CallerServer(vertx, jobs);
     }
 
@@ -191,6 +193,7 @@
             }
         }
         dispatcher.tick(links::hears);
+        jobs.tick();
         if (stopRequestedMillis >= 0) {
             stopIfDone();
         }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -5,17 +5,22 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.ownership.JobPlacement;
 import org.banyanspoke.core.ownership.JobRouter;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.EntryJobs;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.SiteConfig;
+import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.peer.PeerException;
 import org.banyanspoke.peer.PeerIdentity;
 import org.banyanspoke.peer.PeerTransport;
@@ -40,7 +45,9 @@
     private final ConfigWatch config;
     private final JobRouter router;
     private final EntryObserver observer;
-    private final Map<CallerJobId, HostId> open = new HashMap<>();
+    private final MonotonicClock clock;
+    private final Map<CallerJobId, OpenJob> open = new HashMap<>();
+    private final Set<OpenJob> waiting = new LinkedHashSet<>();
     private boolean leaving;
 
     JobForwarder(
@@ -52,7 +59,8 @@
             ZoneDispatcher dispatcher,
             ConfigWatch config,
             JobRouter router,
-            EntryObserver observer) {
+            EntryObserver observer,
+            MonotonicClock clock) {
         this.host = host;
         this.transport = transport;
         this.context = context;
@@ -62,6 +70,7 @@
         this.config = config;
         this.router = router;
         this.observer = observer;
+        this.clock = clock;
         transport.handle(Frame.BodyCase.POOL_JOB, this::onPeerJob);
         transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, this::onPeerCancel);
     }
@@ -94,25 +103,60 @@
 
     @Override
     public void submit(PooledJob job, Consumer<JobOutcome> whenEnded) {
-        Optional<HostState> target = router.choose(job, dispatchers());
-        Consumer<JobOutcome> answer = observer.observe(job, target, config.config(), whenEnded);
-        if (target.isEmpty()) {
-            answer.accept(JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
-            return;
+        OpenJob opened = new OpenJob(job, new JobPlacement(job, router, clock), whenEnded);
+        open.put(job.id(), opened);
+        place(opened, JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
+    }
+
+    /** Gives jobs that wait for a dispatcher another try. */
+    void tick() {
+        for (OpenJob each : List.copyOf(waiting)) {
+            waiting.remove(each);
+            place(each, JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
         }
-        HostId to = target.get().host();
-        open.put(job.id(), to);
-        Consumer<JobOutcome> ended = outcome -> {
-            open.remove(job.id(), to);
-            answer.accept(outcome);
-        };
+    }
+
+    /**
+     * Sends a job to the next dispatcher.
+     *
+     * @param otherwise the answer if there is none
+     */
+    private void place(OpenJob job, JobOutcome otherwise) {
+        Optional<HostState> target = job.placement().next(dispatchers());
+        if (target.isPresent()) {
+            job.sentTo(target.get());
+            send(job, target.get().host());
+        } else if (job.placement().waits()) {
+            waiting.add(job);
+        } else {
+            end(job, otherwise);
+        }
+    }
+
+    private void send(OpenJob job, HostId to) {
+        PooledJob aged = job.placement().job();
         if (to.equals(host)) {
-            dispatcher.submit(host, job, ended);
+            dispatcher.submit(host, aged, outcome -> onOutcome(job, outcome));
         } else {
-            forward(to, job, ended);
+            forward(to, aged, outcome -> onOutcome(job, outcome));
         }
     }
 
+    /** Nothing of a refused job has run, so it may go to another dispatcher. */
+    private void onOutcome(OpenJob job, JobOutcome outcome) {
+        if (outcome.kind() == JobOutcome.Kind.REFUSED && !job.cancelled()) {
+            place(job, outcome);
+        } else {
+            end(job, outcome);
+        }
+    }
+
+    private void end(OpenJob job, JobOutcome outcome) {
+        open.remove(job.id(), job);
+        job.answer(outcome);
+        observer.answered(job, outcome, config.config());
+    }
+
     private Collection<HostState> dispatchers() {
         Collection<HostState> all = new ArrayList<>(links.heard());
         all.add(dispatcher.state());
@@ -121,8 +165,9 @@
 
     private void forward(HostId to, PooledJob job, Consumer<JobOutcome> ended) {
         Frame.Builder request = Frame.newBuilder().setPoolJob(PoolMessages.encode(job));
+        long leftMillis = Math.max(0, job.patienceMillis() - job.ageMillis());
         var unused = transport
-                .request(directory.address(to), request, job.patienceMillis() + REPLY_MARGIN_MILLIS)
+                .request(directory.address(to), request, leftMillis + REPLY_MARGIN_MILLIS)
                 .subscribe(
                         reply -> context.runOnContext(none ->
                                 ended.accept(PoolMessages.decode(reply.frame().getPoolJobReply()))),
@@ -137,26 +182,31 @@
 
     @Override
     public boolean cancel(CallerJobId id, String reason) {
-        HostId at = open.get(id);
-        if (at == null) {
+        OpenJob job = open.get(id);
+        if (job == null) {
             return false;
         }
-        if (at.equals(host)) {
+        job.cancel();
+        if (waiting.remove(job)) {
+            end(job, JobOutcome.refused(reason, NO_DISPATCHER_RETRY_MILLIS));
+        } else if (job.isAt(host)) {
             dispatcher.cancel(host, id, reason);
         } else {
-            PoolJobCancel message = PoolJobCancel.newBuilder()
-                    .setJob(id.value())
-                    .setReason(reason)
-                    .build();
-            var unused = transport
-                    .request(directory.address(at), Frame.newBuilder().setPoolJobCancel(message), CANCEL_TIMEOUT_MILLIS)
-                    .subscribe(reply -> {}, error -> {
-                        // The dispatcher ends the job by itself at the caller's deadline, or is gone with it.
-                    });
+            job.dispatcher().ifPresent(at -> cancelAt(at.host(), id, reason));
         }
         return true;
     }
 
+    private void cancelAt(HostId at, CallerJobId id, String reason) {
+        PoolJobCancel message =
+                PoolJobCancel.newBuilder().setJob(id.value()).setReason(reason).build();
+        var unused = transport
+                .request(directory.address(at), Frame.newBuilder().setPoolJobCancel(message), CANCEL_TIMEOUT_MILLIS)
+                .subscribe(reply -> {}, error -> {
+                    // The dispatcher ends the job by itself at the caller's deadline, or is gone with it.
+                });
+    }
+
     private Single<Frame.Builder> onPeerJob(PeerIdentity from, Frame request) {
         return Single.create(emitter -> context.runOnContext(unused -> dispatcher.submit(
                 from.host(),
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -25,6 +25,7 @@
                 .setHost(state.host().value())
                 .setZone(state.zone().value())
                 .setRegistration(state.registration())
+                .setProcessorMillicores(state.processorMillicores())
                 .setLeaving(state.leaving())
                 .setRound(state.round())
                 .setCapacityMillicores(state.load().capacityMillicores())
@@ -42,6 +43,7 @@
                 new HostId(message.getHost()),
                 new ZoneId(message.getZone()),
                 message.getRegistration(),
+                message.getProcessorMillicores(),
                 message.getLeaving(),
                 message.getRound(),
                 held,
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -31,6 +31,7 @@
 
     private final HostId host;
     private final ZoneId zone;
+    private final long processorMillicores;
     private final ServerPool pool;
     private final FencingTokens tokens;
     private final ServerRegistry registry;
@@ -38,11 +39,19 @@
     private long registration;
     private long round;
     private boolean leaving;
+    private boolean handingOver;
     private Set<ServerId> assigned = Set.of();
 
-    ZoneDispatcher(HostId host, ZoneId zone, ServerPool pool, FencingTokens tokens, ServerRegistry registry) {
+    ZoneDispatcher(
+            HostId host,
+            ZoneId zone,
+            long processorMillicores,
+            ServerPool pool,
+            FencingTokens tokens,
+            ServerRegistry registry) {
         this.host = host;
         this.zone = zone;
+        this.processorMillicores = processorMillicores;
         this.pool = pool;
         this.tokens = tokens;
         this.registry = registry;
@@ -61,7 +70,9 @@
 
     /** Returns what this host says of itself. */
     HostState state() {
-        return new HostState(host, zone, registration, leaving, round, leaving ? assigned : Set.of(), load());
+        boolean givesUp = leaving || handingOver;
+        return new HostState(
+                host, zone, registration, processorMillicores, givesUp, round, givesUp ? assigned : Set.of(), load());
     }
 
     private PoolLoad load() {
@@ -69,7 +80,7 @@
     }
 
     boolean dispatching() {
-        return round > 0 && !leaving;
+        return round > 0 && !leaving && !handingOver;
     }
 
     boolean idle() {
@@ -82,6 +93,9 @@
             assignWhileLeaving();
             return;
         }
+        if (round > 0 && handsOver(heard)) {
+            return;
+        }
         boolean dispatches = ZoneElection.dispatches(state(), heard);
         if (dispatches && round == 0) {
             long highest = heard.stream().mapToLong(HostState::round).max().orElse(0);
@@ -92,18 +106,45 @@
                     .with("heard", heard.size())
                     .write();
         } else if (!dispatches && round > 0) {
-            round = 0;
-            assigned = Set.of();
-            pool.release("another host dispatches");
-            LOG.event(Logger.Level.INFO, "dispatches no more, another host does")
-                    .with("zone", zone)
-                    .write();
+            resign();
         }
         if (round > 0) {
             assign(heard);
         }
     }
 
+    /** Hands the servers over to a much stronger host, each as soon as nothing runs there. Returns false if there is none. */
+    private boolean handsOver(Collection<HostState> heard) {
+        boolean before = handingOver;
+        handingOver = ZoneElection.handsOver(state(), heard);
+        if (handingOver != before) {
+            LOG.event(
+                            Logger.Level.INFO,
+                            handingOver ? "hands over to a stronger host" : "hands over no more, none is heard")
+                    .with("zone", zone)
+                    .with("round", round)
+                    .write();
+        }
+        if (!handingOver) {
+            return false;
+        }
+        assignWhileLeaving();
+        if (assigned.isEmpty() && pool.idle()) {
+            handingOver = false;
+            resign();
+        }
+        return true;
+    }
+
+    private void resign() {
+        round = 0;
+        assigned = Set.of();
+        pool.release("another host dispatches");
+        LOG.event(Logger.Level.INFO, "dispatches no more, another host does")
+                .with("zone", zone)
+                .write();
+    }
+
     private void assign(Collection<HostState> heard) {
         Set<ServerId> heldByOthers = new HashSet<>();
         for (HostState other : heard) {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -33,7 +33,14 @@
     @Test
     void aStateArrivesWhole() {
         HostState state = new HostState(
-                new HostId("h"), new ZoneId("a"), 3, true, 9, Set.of(new ServerId("s1")), new PoolLoad(4, 3, 2, 1));
+                new HostId("h"),
+                new ZoneId("a"),
+                3,
+                1_500,
+                true,
+                9,
+                Set.of(new ServerId("s1")),
+                new PoolLoad(4, 3, 2, 1));
         assertThat(PoolMessages.decode(PoolMessages.encode(state))).isEqualTo(state);
     }
 
