--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -287,7 +287,10 @@
         }
     }
 
-    /** Gives free room to waiting tasks. Calls from within are done after the present pass. */
+    /**
+     * Gives free room to waiting tasks. Calls from within are done after the present pass. A full pool costs one look at each
+     * server, however many jobs wait.
+     */
     private void dispatch() {
         if (dispatching) {
             dispatchAgain = true;
@@ -296,20 +299,35 @@
         dispatching = true;
         do {
             dispatchAgain = false;
-            long nowMillis = clock.millis();
-            for (JobProgress progress : queue.ordered(nowMillis)) {
-                startTasks(progress, nowMillis);
+            if (queue.isEmpty()) {
+                continue;
+            }
+            ServerChoice.Candidates candidates = choice.candidates(servers.values(), queue.leastCpu());
+            if (!candidates.open().isEmpty()) {
+                startWaiting(candidates, clock.millis());
             }
         } while (dispatchAgain);
         dispatching = false;
     }
 
-    private void startTasks(JobProgress progress, long nowMillis) {
+    private void startWaiting(ServerChoice.Candidates candidates, long nowMillis) {
+        int mostFreeCpu = candidates.mostFreeCpu();
+        for (JobProgress progress : queue.ordered(nowMillis)) {
+            if (progress.shape().cpuMillicores() <= mostFreeCpu && startTasks(progress, candidates, nowMillis)) {
+                mostFreeCpu = candidates.mostFreeCpu();
+            }
+        }
+    }
+
+    /** Starts the tasks of a job that find room. Returns whether any did. */
+    private boolean startTasks(JobProgress progress, ServerChoice.Candidates candidates, long nowMillis) {
+        boolean any = false;
         while (progress.pendingTasks() > 0 && !progress.over()) {
-            OwnedServer server = choice.choose(progress, servers.values(), nowMillis);
+            OwnedServer server = choice.choose(progress, candidates, nowMillis);
             if (server == null) {
-                return;
+                break;
             }
+            any = true;
             RunKey key = progress.nextRun(server, nowMillis);
             long expectedMillis = (long) choice.expectedMillis(progress.shape(), server.entry());
             events.started(key, server.entry().id(), expectedMillis);
@@ -317,6 +335,7 @@
                     new Run(key, progress, nowMillis, expectedMillis),
                     progress.job().payload());
         }
+        return any;
     }
 
     @Override
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobQueue.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobQueue.java
@@ -45,6 +45,19 @@
         return !isLate(job, nowMillis) && job.priority() <= priority;
     }
 
+    boolean isEmpty() {
+        return jobs.isEmpty();
+    }
+
+    /** Returns the least processor share that a task of any job needs. */
+    int leastCpu() {
+        int least = Integer.MAX_VALUE;
+        for (JobProgress job : jobs) {
+            least = Math.min(least, job.shape().cpuMillicores());
+        }
+        return least;
+    }
+
     List<JobProgress> all() {
         return jobs;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -122,10 +122,6 @@
         return state == State.USABLE && !entry.draining() && strangers.isEmpty() && !dropped;
     }
 
-    boolean fits(Run run) {
-        return fits(run.cpuMillicores, run.memoryMegabytes, run.gpus);
-    }
-
     boolean fits(int cpu, int memory, int gpus) {
         return usedCpu + cpu <= entry.cpuMillicores()
                 && usedMemory + memory <= entry.memoryMegabytes()
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerChoice.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerChoice.java
@@ -1,6 +1,10 @@
 package org.banyanspoke.core.pool.internal;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.banyanspoke.core.pool.ServerEntry;
 import org.banyanspoke.core.pool.TaskShape;
 
@@ -20,23 +24,56 @@
         this.farFactor = farFactor;
     }
 
+    /**
+     * Returns the servers of one pass over the waiting jobs.
+     *
+     * @param leastCpu processor share of the smallest waiting task, in thousandths of a core
+     */
+    Candidates candidates(Collection<OwnedServer> servers, int leastCpu) {
+        List<OwnedServer> open = new ArrayList<>();
+        Map<String, Double> fastest = new HashMap<>();
+        for (OwnedServer server : servers) {
+            if (server.usable()) {
+                fastest.merge(server.entry().service(), speeds.factor(server.entry()), Math::min);
+                if (server.freeCpu() >= leastCpu) {
+                    open.add(server);
+                }
+            }
+        }
+        return new Candidates(open, fastest);
+    }
+
+    /**
+     * Servers of one pass. Their room may become less during the pass, and never more.
+     *
+     * @param open usable servers with room for the smallest waiting task at least
+     * @param fastest run time over the estimate on the fastest usable server of each service, with room or without
+     */
+    record Candidates(List<OwnedServer> open, Map<String, Double> fastest) {
+        /** Returns the most room that any server has. */
+        int mostFreeCpu() {
+            int most = 0;
+            for (OwnedServer server : open) {
+                most = Math.max(most, server.freeCpu());
+            }
+            return most;
+        }
+    }
+
     /** Returns the server, or null if none has room. */
-    OwnedServer choose(JobProgress job, Collection<OwnedServer> servers, long nowMillis) {
+    OwnedServer choose(JobProgress job, Candidates candidates, long nowMillis) {
         OwnedServer best = null;
         double bestMillis = 0;
         boolean bestInTime = false;
-        boolean couldBeInTime = false;
-        for (OwnedServer server : servers) {
-            if (!server.usable()
-                    || !server.entry().service().equals(job.job().terms().service())) {
+        for (OwnedServer server : candidates.open()) {
+            if (!allowed(job, server, nowMillis)) {
                 continue;
             }
             double millis = expectedMillis(job.shape(), server.entry());
-            boolean inTime = nowMillis + LENGTH_MARGIN * millis <= job.estimatedTargetMillis();
-            couldBeInTime |= inTime;
-            if (!allowed(job, server, nowMillis) || nowMillis + millis > job.patienceEndMillis()) {
+            if (nowMillis + millis > job.patienceEndMillis()) {
                 continue;
             }
+            boolean inTime = inTime(job, millis, nowMillis);
             if (best == null || better(inTime, millis, server, bestInTime, bestMillis, best)) {
                 best = server;
                 bestMillis = millis;
@@ -44,7 +81,16 @@
             }
         }
         // While a busy server could still do the task in time, it waits for that one instead of being late for certain.
-        return bestInTime || !couldBeInTime ? best : null;
+        return bestInTime || !couldBeInTime(job, candidates, nowMillis) ? best : null;
+    }
+
+    private static boolean couldBeInTime(JobProgress job, Candidates candidates, long nowMillis) {
+        Double factor = candidates.fastest().get(job.job().terms().service());
+        return factor != null && inTime(job, factor * job.shape().estimateMillis(), nowMillis);
+    }
+
+    private static boolean inTime(JobProgress job, double millis, long nowMillis) {
+        return nowMillis + LENGTH_MARGIN * millis <= job.estimatedTargetMillis();
     }
 
     double expectedMillis(TaskShape shape, ServerEntry server) {
@@ -72,7 +118,8 @@
     private static boolean allowed(JobProgress job, OwnedServer server, long nowMillis) {
         TaskShape shape = job.shape();
         ServerEntry entry = server.entry();
-        return server.fits(shape.cpuMillicores(), shape.memoryMegabytes(), shape.gpus())
+        return entry.service().equals(job.job().terms().service())
+                && server.fits(shape.cpuMillicores(), shape.memoryMegabytes(), shape.gpus())
                 && server.health().admits(nowMillis, server.runCount())
                 && (shape.label().isEmpty() || entry.labels().contains(shape.label()))
                 && (shape.maxPerServer() == 0 || job.runsOn(server) < shape.maxPerServer())
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/SpeedModel.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/SpeedModel.java
@@ -23,7 +23,12 @@
     private final Map<ServerId, Double> serverFactors = new HashMap<>();
 
     double expectedMillis(ServerEntry server, long estimateMillis) {
-        return estimateMillis * kindFactor(server.kind()) * serverFactor(server.id());
+        return estimateMillis * factor(server);
+    }
+
+    /** Returns the run time on a server over the estimate. */
+    double factor(ServerEntry server) {
+        return kindFactor(server.kind()) * serverFactor(server.id());
     }
 
     /** Returns the run time on a sound server of a kind over the estimate. */
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
@@ -19,14 +19,19 @@
 
 /** Exchanges states with the other hosts and knows which of them have been heard lately. */
 final class HostLinks {
-    /** A host that has not been heard for this long is taken as gone: two lost exchanges. */
+    /** A dispatcher or the caller of one that has not been heard for this long is taken as gone: two lost exchanges. */
     private static final long SILENCE_MILLIS = 700;
 
     private static final long PERIOD_MILLIS = 200;
+    /** Two hosts that do not dispatch need each other only when a dispatcher is lost. */
+    private static final long IDLE_PERIOD_MILLIS = 1_000;
+
+    private static final long IDLE_SILENCE_MILLIS = 2_500;
     /** Hosts that do not answer are tried this often. */
     private static final long SILENT_PERIOD_MILLIS = 1_000;
 
     private static final long TIMEOUT_MILLIS = 400;
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
     private static final EventLog LOG = EventLog.of(HostLinks.class);
 
     private final PeerTransport transport;
@@ -36,6 +41,8 @@
     private final Supplier<HostState> self;
     private final Map<HostId, Heard> heard = new HashMap<>();
     private final Map<HostId, Long> askedMillis = new HashMap<>();
+    private boolean attentive;
+    private long attentiveSinceMillis = NEVER_MILLIS;
 
     private record Heard(HostState state, long atMillis) {}
 
@@ -71,35 +78,74 @@
         return heard.containsKey(host);
     }
 
-    /** Asks the hosts whose turn it is, and forgets those that have been silent for too long. */
+    /**
+     * Exchanges states with the hosts whose turn it is, and forgets those that have been silent for too long. One exchange serves
+     * both sides, so the host that asks first spares the other the question.
+     */
     void tick() {
         long nowMillis = clock.millis();
-        heard.entrySet().removeIf(each -> {
-            boolean silent = nowMillis - each.getValue().atMillis() > SILENCE_MILLIS;
-            if (silent) {
-                LOG.event(Logger.Level.WARN, "an entry host is silent")
-                        .with("peer", each.getKey())
-                        .with("silentMillis", nowMillis - each.getValue().atMillis())
-                        .write();
-            }
-            return silent;
-        });
+        HostState own = self.get();
+        noteDispatcher(own, nowMillis);
+        heard.values().removeIf(each -> isSilent(each, own, nowMillis));
         for (Map.Entry<HostId, String> other : directory.others()) {
-            long period = heard.containsKey(other.getKey()) ? PERIOD_MILLIS : SILENT_PERIOD_MILLIS;
-            Long asked = askedMillis.get(other.getKey());
-            if (asked == null || nowMillis - asked >= period) {
-                askedMillis.put(other.getKey(), nowMillis);
-                ask(other.getKey(), other.getValue());
+            HostId host = other.getKey();
+            Heard last = heard.get(host);
+            long heardMillis = last == null ? NEVER_MILLIS : last.atMillis();
+            long sinceMillis = Math.max(askedMillis.getOrDefault(host, NEVER_MILLIS), heardMillis);
+            if (nowMillis - sinceMillis >= periodMillis(last, own)) {
+                ask(host, other.getValue());
             }
         }
     }
 
+    /** Notes since when this host dispatches, or its zone has no dispatcher: before that, long silences were allowed. */
+    private void noteDispatcher(HostState own, long nowMillis) {
+        boolean known = heard.values().stream()
+                .anyMatch(each ->
+                        each.state().dispatching() && each.state().zone().equals(own.zone()));
+        boolean now = own.dispatching() || !known;
+        if (now && !attentive) {
+            attentiveSinceMillis = nowMillis;
+        }
+        attentive = now;
+    }
+
+    /** Whether the silence of a host must be noticed soon. */
+    private boolean matters(Heard last, HostState own) {
+        return last.state().dispatching()
+                || own.dispatching()
+                || (attentive && last.state().zone().equals(own.zone()));
+    }
+
+    private long periodMillis(Heard last, HostState own) {
+        if (last == null) {
+            return SILENT_PERIOD_MILLIS;
+        }
+        return matters(last, own) ? PERIOD_MILLIS : IDLE_PERIOD_MILLIS;
+    }
+
+    private boolean isSilent(Heard last, HostState own, long nowMillis) {
+        boolean matters = matters(last, own);
+        long fromMillis = matters && !last.state().dispatching()
+                ? Math.max(last.atMillis(), attentiveSinceMillis)
+                : last.atMillis();
+        if (nowMillis - fromMillis <= (matters ? SILENCE_MILLIS : IDLE_SILENCE_MILLIS)) {
+            return false;
+        }
+        LOG.event(Logger.Level.WARN, "an entry host is silent")
+                .with("peer", last.state().host())
+                .with("silentMillis", nowMillis - last.atMillis())
+                .write();
+        return true;
+    }
+
     /** Tells all hosts at once, because something has changed that they should not wait for. */
     void tellAll() {
         directory.others().forEach(other -> ask(other.getKey(), other.getValue()));
     }
 
     private void ask(HostId host, String address) {
+        askedMillis.put(host, clock.millis());
         Frame.Builder request = Frame.newBuilder().setHostState(PoolMessages.encode(self.get()));
         var unused = transport
                 .request(address, request, TIMEOUT_MILLIS)
