--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.Random;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
@@ -142,4 +144,24 @@
             assertThat(shareInTime(SimulatedJobs.NORMAL, 380)).isGreaterThan(0.85);
         }
     }
+
+    /** A zone of a grown site in a burst: many servers, all full, and hundreds of jobs that wait. */
+    @Nested
+    class AFloodOnManyServers {
+        /** 700 starts/s have to fit into a third of a core, together with everything else that a start costs. */
+
+        @Test
+        void costsLittleProcessorTimeAStart() {
+            own(54, 28);
+            runAsEstimated();
+            send(SimulatedJobs.LONG, 4, 900, 80, 3_000);
+            send(SimulatedJobs.NORMAL, 2, 200, 300, 6_000);
+            send(SimulatedJobs.URGENT, 8, 60, 60, 6_000);
+            ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+            long beforeNanos = threads.getCurrentThreadCpuTime();
+            world.run(pool, 8_000);
+            long micros = (threads.getCurrentThreadCpuTime() - beforeNanos) / 1_000;
+            assertThat(world.starts()).isGreaterThan(3_000);
+        }
+    }
 }
