--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/JobRouter.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/JobRouter.java
@@ -22,7 +22,7 @@
 
     /** Work sent to a dispatcher since it last told its load. */
     private static final class Sent {
-        private double coreMillis;
+        private long millicores;
         private PoolLoad toldBefore;
     }
 
@@ -57,28 +57,30 @@
             }
         }
         if (best != null) {
-            sent(best).coreMillis += coreMillis(job);
+            sent(best).millicores += neededMillicores(job);
         }
         return Optional.ofNullable(best);
     }
 
+    /** Returns how long the last task of a job waits for room. Full servers free their room at the pace of what runs there. */
     private double expectedWaitMillis(PooledJob job, HostState dispatcher) {
         PoolLoad load = dispatcher.load();
-        double waiting = load.queuedCoreMillis() + sent(dispatcher).coreMillis + coreMillis(job) / 2;
-        double freeNow = load.freeMillicores() * job.shape().estimateMillis() / 1_000.0;
-        return Math.max(0, waiting - freeNow) * 1_000 / load.capacityMillicores();
+        long needed = load.queuedMillicores() + sent(dispatcher).millicores + neededMillicores(job);
+        long missing = Math.max(0, needed - load.freeMillicores());
+        long runMillis = Math.max(load.runMillis(), job.shape().estimateMillis());
+        return (double) missing * runMillis / load.capacityMillicores();
     }
 
     private Sent sent(HostState dispatcher) {
         Sent sent = sentSince.computeIfAbsent(dispatcher.host(), key -> new Sent());
         if (!dispatcher.load().equals(sent.toldBefore)) {
             sent.toldBefore = dispatcher.load();
-            sent.coreMillis = 0;
+            sent.millicores = 0;
         }
         return sent;
     }
 
-    private static double coreMillis(PooledJob job) {
-        return (double) job.tasks() * job.shape().cpuMillicores() * job.shape().estimateMillis() / 1_000;
+    private static long neededMillicores(PooledJob job) {
+        return (long) job.tasks() * job.shape().cpuMillicores();
     }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -342,19 +342,26 @@
     public PoolLoad load() {
         long capacity = 0;
         long free = 0;
+        long busy = 0;
+        long runningWork = 0;
         for (OwnedServer server : servers.values()) {
             if (server.usable()) {
                 capacity += server.entry().cpuMillicores();
                 free += server.freeCpu();
+                busy += server.usedCpu();
+                runningWork += server.runningWork();
             }
         }
         double waiting = 0;
+        long needed = 0;
         int unstarted = 0;
         for (JobProgress progress : queue.all()) {
             waiting += waitingWork(progress);
+            needed += (long) progress.pendingTasks() * progress.shape().cpuMillicores();
             unstarted += progress.started() ? 0 : 1;
         }
-        return new PoolLoad(capacity, free, (long) (waiting / 1000), unstarted);
+        long runMillis = busy == 0 ? 0 : runningWork / busy;
+        return new PoolLoad(capacity, free, (long) (waiting / 1000), unstarted, needed, runMillis);
     }
 
     @Override
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -83,6 +83,7 @@
     private long serverClockReadMillis;
     private long lastDeadlineSentMillis = Long.MIN_VALUE / 2;
     private int usedCpu;
+    private long runningWork;
     private int usedMemory;
     private int usedGpus;
 
@@ -118,6 +119,15 @@
         return entry.cpuMillicores() - usedCpu;
     }
 
+    int usedCpu() {
+        return usedCpu;
+    }
+
+    /** Returns the expected work of all runs, from their starts, in thousandths of a core times milliseconds. */
+    long runningWork() {
+        return runningWork;
+    }
+
     boolean usable() {
         return state == State.USABLE && !entry.draining() && strangers.isEmpty() && !dropped;
     }
@@ -156,6 +166,7 @@
     void start(Run run, String payload) {
         runs.put(run.key, run);
         usedCpu += run.cpuMillicores;
+        runningWork += run.expectedWork();
         usedMemory += run.memoryMegabytes;
         usedGpus += run.gpus;
         noteDeadline();
@@ -438,6 +449,7 @@
     private void over(Run run, EndKind kind) {
         runs.remove(run.key);
         usedCpu -= run.cpuMillicores;
+        runningWork -= run.expectedWork();
         usedMemory -= run.memoryMegabytes;
         usedGpus -= run.gpus;
         listener.over(this, run, kind);
@@ -448,6 +460,7 @@
         List<Run> left = new ArrayList<>(runs.values());
         runs.clear();
         usedCpu = 0;
+        runningWork = 0;
         usedMemory = 0;
         usedGpus = 0;
         return left;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
@@ -41,6 +41,11 @@
         this.lastOrderMillis = orderedMillis;
     }
 
+    /** Returns the expected work from start to end, in thousandths of a core times milliseconds. */
+    long expectedWork() {
+        return cpuMillicores * expectedMillis;
+    }
+
     boolean beingStopped() {
         return state == State.STOPPING || state == State.STOPPED;
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
@@ -16,9 +16,9 @@
 
 /** Guards against jobs that are refused while another zone has room, and against jobs that wander through a flooded site. */
 class JobPlacementTest {
-    private static final PoolLoad EMPTY = new PoolLoad(200_000, 200_000, 0, 0);
+    private static final PoolLoad EMPTY = new PoolLoad(200_000, 200_000, 0, 0, 0, 0);
     /** Three seconds of work for the whole pool. */
-    private static final PoolLoad FLOODED = new PoolLoad(200_000, 0, 600_000, 50);
+    private static final PoolLoad FLOODED = new PoolLoad(200_000, 0, 600_000, 50, 2_000_000, 300);
 
     private long nowMillis = 10_000;
     private final JobPlacement placement =
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
@@ -19,7 +19,7 @@
 class JobRouterTest {
     private final JobRouter router = new JobRouter(new ZoneId("a"));
 
-    private static HostState dispatcher(String zone, long free, long queuedCoreMillis) {
+    private static HostState dispatcher(String zone, long free, long queuedMillicores) {
         return new HostState(
                 new HostId("h-" + zone),
                 new ZoneId(zone),
@@ -28,7 +28,7 @@
                 false,
                 1,
                 Set.of(),
-                new PoolLoad(200_000, free, queuedCoreMillis, 0));
+                new PoolLoad(200_000, free, 0, 0, queuedMillicores, 300));
     }
 
     private static PooledJob job() {
@@ -51,7 +51,7 @@
 
     @Test
     void aJobLeavesAZoneWithAQueue() {
-        assertThat(router.choose(job(), List.of(dispatcher("a", 0, 20_000), dispatcher("b", 100_000, 0))))
+        assertThat(router.choose(job(), List.of(dispatcher("a", 0, 200_000), dispatcher("b", 100_000, 0))))
                 .map(HostState::zone)
                 .contains(new ZoneId("b"));
     }
@@ -68,9 +68,17 @@
 
     @Test
     void dispatchersWithoutServersOrAboutToStopGetNothing() {
-        HostState leaving =
-                new HostState(new HostId("h"), new ZoneId("a"), 1, 1_000, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0));
+        HostState leaving = new HostState(
+                new HostId("h"), new ZoneId("a"), 1, 1_000, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0, 0, 0));
         HostState empty = new HostState(new HostId("h"), new ZoneId("a"), 1, 1_000, false, 1, Set.of(), PoolLoad.NONE);
         assertThat(router.choose(job(), List.of(leaving, empty))).isEmpty();
     }
+
+    /** Tasks of 60 ms that wait behind tasks of 300 ms wait for those, not for their own kind. */
+    @Test
+    void aWideJobLeavesAZoneThatHasRoomForHalfOfItOnly() {
+        assertThat(router.choose(job(), List.of(dispatcher("a", 28_000, 0), dispatcher("b", 200_000, 0))))
+                .map(HostState::zone)
+                .contains(new ZoneId("b"));
+    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -31,7 +31,9 @@
                 .setCapacityMillicores(state.load().capacityMillicores())
                 .setFreeMillicores(state.load().freeMillicores())
                 .setQueuedCoreMillis(state.load().queuedCoreMillis())
-                .setQueuedJobs(state.load().queuedJobs());
+                .setQueuedJobs(state.load().queuedJobs())
+                .setQueuedMillicores(state.load().queuedMillicores())
+                .setRunMillis(state.load().runMillis());
         state.held().forEach(server -> message.addHeldServers(server.value()));
         return message.build();
     }
@@ -51,7 +53,9 @@
                         message.getCapacityMillicores(),
                         message.getFreeMillicores(),
                         message.getQueuedCoreMillis(),
-                        message.getQueuedJobs()));
+                        message.getQueuedJobs(),
+                        message.getQueuedMillicores(),
+                        message.getRunMillis()));
     }
 
     static PoolJobRequest encode(PooledJob job) {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -40,7 +40,7 @@
                 true,
                 9,
                 Set.of(new ServerId("s1")),
-                new PoolLoad(4, 3, 2, 1));
+                new PoolLoad(4, 3, 2, 1, 7, 8));
         assertThat(PoolMessages.decode(PoolMessages.encode(state))).isEqualTo(state);
     }
 
