--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/logging/Logging.java
@@ -14,6 +14,10 @@
 public final class Logging {
     /** Lines that may wait for a slow reader of the output. */
     private static final int QUEUED_LINES = 2_000;
+    /** A reader of the output that does not read holds up the end of the process no longer. */
+    private static final long CLOSE_MILLIS = 300;
+
+    private static volatile Thread writer = new Thread("no-log-writer");
 
     private Logging() {}
 
@@ -33,12 +37,33 @@
 
     /** Sends all log lines from INFO to standard output as JSON. Lines are left out rather than waited for. */
     public static void configure(HostId host, ZoneId zone) {
-        AsyncHandler handler = new AsyncHandler(QUEUED_LINES);
+        AsyncHandler handler = new AsyncHandler(QUEUED_LINES, Logging::newWriter);
         handler.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        // The writer still needs the console when the handler has been closed.
+        handler.setCloseChildren(false);
         handler.addHandler(console(host, zone, ConsoleHandler.Target.SYSTEM_OUT));
         configure(handler, Level.INFO);
     }
 
+    private static Thread newWriter(Runnable task) {
+        writer = new Thread(task, "log-writer");
+        writer.setDaemon(true);
+        return writer;
+    }
+
+    /** Writes the lines that wait and takes no more. Needed before the process ends, or its last lines are lost. */
+    public static void close() {
+        for (java.util.logging.Handler each :
+                LogContext.getLogContext().getLogger("").getHandlers()) {
+            each.close();
+        }
+        try {
+            writer.join(CLOSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static ConsoleHandler console(HostId host, ZoneId zone, ConsoleHandler.Target target) {
         Map<String, String> hostFields = Map.of("host", host.value(), "zone", zone.value());
         ConsoleHandler handler = new ConsoleHandler(target, new JsonLineFormatter(hostFields));
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -8,7 +8,7 @@
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.platform.StoreClient;
 
-/** Peer addresses of all hosts that have registered in the store. */
+/** Peer addresses of all hosts that have registered in the store or have spoken to this one. */
 final class HostDirectory implements TopicFollower.Listener {
     private final HostId self;
     private final Map<HostId, String> addresses = new HashMap<>();
@@ -39,6 +39,18 @@
         }
     }
 
+    /** Takes note of the address that a host tells of itself, which may come sooner than its record. */
+    void learn(HostId host, String address) {
+        if (!host.equals(self)) {
+            addresses.put(host, address);
+        }
+    }
+
+    /** Returns whether a host can be reached: it is this one or its address is known. */
+    boolean knows(HostId host) {
+        return host.equals(self) || addresses.containsKey(host);
+    }
+
     /** Returns the addresses of the other hosts. */
     Collection<Map.Entry<HostId, String>> others() {
         return List.copyOf(addresses.entrySet());
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
@@ -60,6 +60,7 @@
         transport.handle(
                 Frame.BodyCase.HOST_STATE,
                 (from, request) -> Single.create(emitter -> context.runOnContext(unused -> {
+                    directory.learn(from.host(), from.address());
                     hear(PoolMessages.decode(request.getHostState()));
                     emitter.onSuccess(Frame.newBuilder().setHostState(PoolMessages.encode(self.get())));
                 })));
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -158,7 +158,12 @@
     }
 
     private Collection<HostState> dispatchers() {
-        Collection<HostState> all = new ArrayList<>(links.heard());
+        Collection<HostState> all = new ArrayList<>();
+        for (HostState each : links.heard()) {
+            if (directory.knows(each.host())) {
+                all.add(each);
+            }
+        }
         all.add(dispatcher.state());
         return all;
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
@@ -66,5 +66,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        Logging.close();
     }
 }
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -0,0 +1,158 @@
+package org.banyanspoke.host.standins;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One entry host as a process of its own, with its settings file and its output. */
+public final class HostUnderTest {
+    private final String name;
+    private final Path folder;
+    private final int callerPort = freePort();
+    private final int readinessPort = freePort();
+    private final int peerPort = freePort();
+    private final int metricsPort = freePort();
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private Process process;
+
+    /**
+     * @param folder for the settings file and the output
+     */
+    public HostUnderTest(String name, Path folder) throws IOException {
+        this.name = name;
+        this.folder = folder;
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new IllegalStateException("no free port", e);
+        }
+    }
+
+    /** Writes the settings file. */
+    public void settings(String zone, double processors, String storeAddress) throws IOException {
+        Files.writeString(folder.resolve(name + ".toml"), """
+                node = "%s"
+                ip = "127.0.0.1"
+                zone = "%s"
+                port_range = [%d, %d]
+                [listen]
+                front = "127.0.0.1:%d"
+                ready = "127.0.0.1:%d"
+                [limits]
+                cpu_share = %s
+                cores = 1
+                [bounds]
+                grace_s = 6
+                max_hold_ms = 1000
+                far_factor = 2
+                [platform]
+                address = "%s"
+                """.formatted(
+                        name, zone, peerPort, peerPort, callerPort, readinessPort, processors, storeAddress));
+    }
+
+    /** Starts the process. */
+    public void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx160m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Djava.util.logging.manager=org.jboss.logmanager.LogManager",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                "org.banyanspoke.host.Main",
+                "--metrics-port",
+                Integer.toString(metricsPort));
+        builder.environment()
+                .put("BANYANSPOKE_SETTINGS", folder.resolve(name + ".toml").toString());
+        File output = folder.resolve(name + ".log").toFile();
+        process = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(output))
+                .start();
+    }
+
+    /** Returns all that the process has written so far, in all its lives. */
+    public String output() throws IOException {
+        return Files.readString(folder.resolve(name + ".log"));
+    }
+
+    /** Returns whether the output has a line with a text. */
+    public boolean hasWritten(String text) {
+        try {
+            return output().contains(text);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Returns the process. */
+    public Process process() {
+        return process;
+    }
+
+    /** Ends the process without notice. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+    }
+
+    /** Sends a signal by its name, such as {@code HUP}. */
+    public void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .waitFor(5, TimeUnit.SECONDS);
+    }
+
+    /** Sends a job whose tasks run for a time each. */
+    public CompletableFuture<HttpResponse<String>> submit(String job, int tasks, int cpuMillicores, long runMillis) {
+        String body =
+                "{\"spec\":\"%d\",\"best_effort\":true,\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":64,\"est_runtime_ms\":%d}]}"
+                        .formatted(runMillis, tasks, cpuMillicores, runMillis);
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + "/q/" + job))
+                .timeout(Duration.ofSeconds(20))
+                .header("X-Banyanspoke-Deadline-Ms", "3000")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return http.sendAsync(request, BodyHandlers.ofString());
+    }
+
+    /** Returns the status of the readiness check; 0 if there is no answer. */
+    public int readiness() throws InterruptedException {
+        return get(readinessPort, "/readiness").map(HttpResponse::statusCode).orElse(0);
+    }
+
+    /** Returns the value of a metric; -1 if there is none. */
+    public double metric(String metric) throws InterruptedException {
+        return get(metricsPort, "/metrics").stream()
+                .flatMap(answer -> answer.body().lines())
+                .filter(line -> line.startsWith(metric + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(metric.length() + 1)))
+                .findFirst()
+                .orElse(-1);
+    }
+
+    private java.util.Optional<HttpResponse<String>> get(int port, String path) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(2))
+                .build();
+        try {
+            return java.util.Optional.of(http.send(request, BodyHandlers.ofString()));
+        } catch (IOException e) {
+            return java.util.Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -0,0 +1,156 @@
+package org.banyanspoke.host.standins;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's store with topics of one partition and records with keys. Loses nothing; can be made silent to all. */
+public final class StoreStandin {
+    private static final int HEADER_BYTES = 16;
+
+    /** A record. */
+    private record Entry(String key, byte[] value) {}
+
+    /** A read that waits for a record. */
+    private record Waiting(HttpServerRequest request, String topic, int from) {}
+
+    private final Vertx vertx;
+    private final Map<String, List<Entry>> topics = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private HttpServer server;
+    private volatile boolean down;
+
+    /**
+     * @param vertx runs the store on one of its threads
+     */
+    public StoreStandin(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    /** Listens on a free port. */
+    public Future<HttpServer> start() {
+        server = vertx.createHttpServer().requestHandler(this::handle);
+        return server.listen(0, "127.0.0.1");
+    }
+
+    /** Returns {@code ip:port}. */
+    public String address() {
+        return "127.0.0.1:" + server.actualPort();
+    }
+
+    /** Refuses all calls, or none. */
+    public void setDown(boolean down) {
+        this.down = down;
+    }
+
+    /** Adds a record as the operators or a backend server do. */
+    public synchronized void put(String topic, String key, JsonObject value) {
+        append(topic, new Entry(key, value.toBuffer().getBytes()));
+    }
+
+    private void append(String topic, Entry entry) {
+        topics.computeIfAbsent(topic, name -> new ArrayList<>()).add(entry);
+        List<Waiting> ready =
+                waiting.stream().filter(each -> each.topic().equals(topic)).toList();
+        waiting.removeAll(ready);
+        ready.forEach(this::answerRead);
+    }
+
+    private synchronized void handle(HttpServerRequest request) {
+        if (down) {
+            var unused = request.response().setStatusCode(503).end();
+            return;
+        }
+        String topic = request.getParam("topic");
+        switch (request.path()) {
+            case "/log-append" -> request.body().onSuccess(body -> onAppend(request, topic, body));
+            case "/log-newest" -> onNewest(request, topic);
+            case "/log-read" -> onRead(request, topic);
+            default -> {
+                var unused = request.response().setStatusCode(404).end();
+            }
+        }
+    }
+
+    private synchronized void onAppend(HttpServerRequest request, String topic, Buffer body) {
+        int first = size(topic);
+        int at = 0;
+        while (at < body.length()) {
+            int length = body.getInt(at);
+            int keyLength = body.getByte(at + 4);
+            String key = body.getString(at + 5, at + 5 + keyLength);
+            append(topic, new Entry(key, body.getBytes(at + 5 + keyLength, at + 4 + length)));
+            at += 4 + length;
+        }
+        answer(request, new JsonObject().put("offset", first).put("end", size(topic)));
+    }
+
+    private void onNewest(HttpServerRequest request, String topic) {
+        Map<String, JsonObject> newest = new LinkedHashMap<>();
+        List<Entry> entries = topics.getOrDefault(topic, List.of());
+        for (int offset = 0; offset < entries.size(); offset++) {
+            Entry entry = entries.get(offset);
+            newest.put(
+                    entry.key(),
+                    new JsonObject()
+                            .put("key", entry.key())
+                            .put("value", Base64.getEncoder().encodeToString(entry.value()))
+                            .put("offset", offset));
+        }
+        answer(
+                request,
+                new JsonObject()
+                        .put("items", new JsonArray(List.copyOf(newest.values())))
+                        .put("has_more", false)
+                        .put("end", entries.size()));
+    }
+
+    private void onRead(HttpServerRequest request, String topic) {
+        int from = Integer.parseInt(request.getParam("from"));
+        String wait = request.getParam("wait_ms");
+        Waiting read = new Waiting(request, topic, from);
+        if (wait == null || from < size(topic)) {
+            answerRead(read);
+            return;
+        }
+        waiting.add(read);
+        vertx.setTimer(Long.parseLong(wait), unused -> endWait(read));
+    }
+
+    private synchronized void endWait(Waiting read) {
+        if (waiting.remove(read)) {
+            answerRead(read);
+        }
+    }
+
+    private void answerRead(Waiting read) {
+        Buffer body = Buffer.buffer(HEADER_BYTES).appendLong(size(read.topic())).appendLong(0);
+        List<Entry> entries = topics.getOrDefault(read.topic(), List.of());
+        for (Entry entry : entries.subList(Math.min(read.from(), entries.size()), entries.size())) {
+            byte[] key = entry.key().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            body.appendInt(1 + key.length + entry.value().length)
+                    .appendByte((byte) key.length)
+                    .appendBytes(key)
+                    .appendBytes(entry.value());
+        }
+        var unused = read.request().response().end(body);
+    }
+
+    private int size(String topic) {
+        return topics.getOrDefault(topic, List.of()).size();
+    }
+
+    private static void answer(HttpServerRequest request, JsonObject body) {
+        var unused = request.response().end(body.toBuffer());
+    }
+}
