--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostLinks.java
@@ -23,10 +23,14 @@
     private static final long SILENCE_MILLIS = 700;
 
     private static final long PERIOD_MILLIS = 200;
-    /** Two hosts that do not dispatch need each other only when a dispatcher is lost. */
-    private static final long IDLE_PERIOD_MILLIS = 1_000;
+    /** Two hosts of a zone that do not dispatch need each other only when their dispatcher is lost, */
+    private static final long ZONE_PERIOD_MILLIS = 1_000;
 
-    private static final long IDLE_SILENCE_MILLIS = 2_500;
+    private static final long ZONE_SILENCE_MILLIS = 2_500;
+    /** and those of two zones not at all: who begins to dispatch tells all. */
+    private static final long FAR_PERIOD_MILLIS = 10_000;
+
+    private static final long FAR_SILENCE_MILLIS = 25_000;
     /** Hosts that do not answer are tried this often. */
     private static final long SILENT_PERIOD_MILLIS = 1_000;
 
@@ -122,7 +126,10 @@
         if (last == null) {
             return SILENT_PERIOD_MILLIS;
         }
-        return matters(last, own) ? PERIOD_MILLIS : IDLE_PERIOD_MILLIS;
+        if (matters(last, own)) {
+            return PERIOD_MILLIS;
+        }
+        return last.state().zone().equals(own.zone()) ? ZONE_PERIOD_MILLIS : FAR_PERIOD_MILLIS;
     }
 
     private boolean isSilent(Heard last, HostState own, long nowMillis) {
@@ -130,7 +137,8 @@
         long fromMillis = matters && !last.state().dispatching()
                 ? Math.max(last.atMillis(), attentiveSinceMillis)
                 : last.atMillis();
-        if (nowMillis - fromMillis <= (matters ? SILENCE_MILLIS : IDLE_SILENCE_MILLIS)) {
+        long idleMillis = last.state().zone().equals(own.zone()) ? ZONE_SILENCE_MILLIS : FAR_SILENCE_MILLIS;
+        if (nowMillis - fromMillis <= (matters ? SILENCE_MILLIS : idleMillis)) {
             return false;
         }
         LOG.event(Logger.Level.WARN, "an entry host is silent")
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -30,8 +30,10 @@
 
     private static final TransportLimits PEER_LIMITS =
             new TransportLimits(4 * 1024 * 1024, 16L * 1024 * 1024, 500, PEER_SILENCE_MILLIS, 60_000);
-    /** Deadlines are met this exactly. */
+    /** Deadlines are met this exactly, */
     private static final long TICK_MILLIS = 20;
+    /** and the loss of another host is noticed this exactly. */
+    private static final long IDLE_TICK_MILLIS = 60;
     /** Time in which a new host hears the others before it may claim to dispatch. */
     private static final long SETTLE_MILLIS = 300;
 
@@ -136,7 +138,7 @@
         new TopicFollower(vertx, store, SiteTopics.HOSTS, 0, () -> HOSTS_PAUSE_MILLIS, directory).start();
         register();
         serveMetrics();
-        vertx.setPeriodic(TICK_MILLIS, unused -> tick());
+        scheduleTick();
         vertx.setPeriodic(SETTINGS_PERIOD_MILLIS, unused -> watch.reload());
     }
 
@@ -182,6 +184,15 @@
         links.tellAll();
     }
 
+    /** Hosts that neither dispatch nor stop nor have jobs without a dispatcher sleep longer. */
+    private void scheduleTick() {
+        boolean busy = dispatcher.state().dispatching() || jobs.waitingJobs() > 0 || stopRequestedMillis >= 0;
+        vertx.setTimer(busy ? TICK_MILLIS : IDLE_TICK_MILLIS, unused -> {
+            scheduleTick();
+            tick();
+        });
+    }
+
     private void tick() {
         links.tick();
         if (registeredMillis != Long.MAX_VALUE && clock.millis() - registeredMillis >= SETTLE_MILLIS) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -85,6 +85,11 @@
         return open.size();
     }
 
+    /** Returns how many jobs wait for a dispatcher. */
+    int waitingJobs() {
+        return waiting.size();
+    }
+
     @Override
     public boolean ready() {
         return !leaving && config.config().isPresent();
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,8 @@
     private final Map<ServerId, ServerEntry> servers = new HashMap<>();
     private final Map<ServerId, Long> missingSinceMillis = new HashMap<>();
     private final Set<String> unreadable = new HashSet<>();
+    /** Newest records that nobody has asked for yet. Hosts that do not dispatch never do. */
+    private final Map<String, StoreClient.Entry> unread = new LinkedHashMap<>();
 
     ServerRegistry(MonotonicClock clock) {
         this.clock = clock;
@@ -38,6 +41,7 @@
 
     @Override
     public void onAll(List<StoreClient.Entry> entries) {
+        unread.clear();
         Set<ServerId> listed = new HashSet<>();
         for (StoreClient.Entry entry : entries) {
             onEntry(entry).ifPresent(listed::add);
@@ -47,7 +51,21 @@
 
     @Override
     public void onChanges(List<StoreClient.Entry> entries) {
-        entries.forEach(this::onEntry);
+        for (StoreClient.Entry entry : entries) {
+            if (entry.value().length == 0) {
+                // When an entry disappeared decides how long it holds, so this is not put off.
+                read(unread.remove(entry.key()));
+                onEntry(entry);
+            } else {
+                unread.put(entry.key(), entry);
+            }
+        }
+    }
+
+    private void read(StoreClient.Entry entry) {
+        if (entry != null) {
+            onEntry(entry);
+        }
     }
 
     private Optional<ServerId> onEntry(StoreClient.Entry entry) {
@@ -80,6 +98,8 @@
 
     /** Returns the servers of a zone. */
     List<ServerEntry> in(ZoneId zone) {
+        unread.values().forEach(this::read);
+        unread.clear();
         long nowMillis = clock.millis();
         missingSinceMillis.entrySet().removeIf(each -> {
             boolean gone = nowMillis - each.getValue() >= MISSING_MILLIS;
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
@@ -49,4 +49,23 @@
         registry.onAll(List.of(new StoreClient.Entry("i-0", new byte[] {1, 2}), entry("i-1")));
         assertThat(registry.in(ZONE)).hasSize(1);
     }
+
+    @Test
+    void anEntryThatComesAndGoesBetweenTwoLooksHoldsALittleLonger() {
+        registry.onAll(List.of());
+        registry.onChanges(List.of(entry("i-1"), removed("i-1")));
+        nowMillis.addAndGet(1_900);
+        assertThat(registry.in(ZONE)).hasSize(1);
+        nowMillis.addAndGet(700);
+        assertThat(registry.in(ZONE)).isEmpty();
+    }
+
+    @Test
+    void anEntryThatIsBackBeforeTheNextLookIsKept() {
+        registry.onAll(List.of(entry("i-1")));
+        registry.onChanges(List.of(removed("i-1")));
+        registry.onChanges(List.of(entry("i-1")));
+        nowMillis.addAndGet(10_000);
+        assertThat(registry.in(ZONE)).hasSize(1);
+    }
 }
