--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -27,6 +28,7 @@
     private final Vertx vertx;
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
+    private final Map<String, Integer> firstKept = new HashMap<>();
     private HttpServer server;
     private volatile boolean down;
 
@@ -53,6 +55,11 @@
         this.down = down;
     }
 
+    /** Drops all records of a topic from its history; the newest one of each key is kept. */
+    public synchronized void dropHistory(String topic) {
+        firstKept.put(topic, size(topic));
+    }
+
     /** Adds a record as the operators or a backend server do. */
     public synchronized void put(String topic, String key, JsonObject value) {
         append(topic, new Entry(key, value.toBuffer().getBytes()));
@@ -117,6 +124,11 @@
 
     private void onRead(HttpServerRequest request, String topic) {
         int from = Integer.parseInt(request.getParam("from"));
+        if (from < firstKept.getOrDefault(topic, 0)) {
+            JsonObject first = new JsonObject().put("first", firstKept.get(topic));
+            var unused = request.response().setStatusCode(410).end(first.toBuffer());
+            return;
+        }
         String wait = request.getParam("wait_ms");
         Waiting read = new Waiting(request, topic, from);
         if (wait == null || from < size(topic)) {
@@ -137,7 +149,7 @@
         Buffer body = Buffer.buffer(HEADER_BYTES).appendLong(size(read.topic())).appendLong(0);
         List<Entry> entries = topics.getOrDefault(read.topic(), List.of());
         for (Entry entry : entries.subList(Math.min(read.from(), entries.size()), entries.size())) {
-            byte[] key = entry.key().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
             body.appendInt(1 + key.length + entry.value().length)
                     .appendByte((byte) key.length)
                     .appendBytes(key)
