--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/ZoneElection.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/ZoneElection.java
@@ -4,8 +4,8 @@
 
 /**
  * Decides whether this host dispatches for its zone. A dispatcher stays one as long as it is heard and no host with much more
- * processor is there; then the strongest registered host of the zone follows, of equals the oldest. Two hosts may believe themselves to be the dispatcher for a while: backend servers obey
- * only the one with the higher token.
+ * processor is there; then the strongest registered host of the zone follows, of equals the oldest. Two hosts may believe
+ * themselves to be the dispatcher for a while: backend servers obey only the one with the higher token.
  */
 public final class ZoneElection {
     /** A handover leaves each server idle for a moment, so a dispatcher hands over only to a host this many times as strong. */
