A job whose earlier run is being stopped is abandoned, not refused

Cause: a resubmitted job was refused while tasks of its earlier run were being stopped. Since 'a refused job goes to another zone' the entry host passed such a job on, and another dispatcher could start a task beside the run that was being stopped. The refusal was also not true: tasks of the job had run. Test: doesNotCallAJobRefusedWhoseEarlierRunIsBeingStopped, which fails before (REFUSED).

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -121,7 +121,9 @@
                 job, arrivalMillis, arrivalMillis + job.targetMillis(), arrivalMillis + job.usefulMillis());
         progress.addWaiting(whenEnded);
         if (known != null) {
-            refuse(progress, "an earlier run of this job is being stopped", SHORTEST_RETRY_MILLIS);
+            // No refusal: tasks of the job have run, and another dispatcher must not start them beside what is being
+            // stopped.
+            end(progress, JobOutcome.abandoned("an earlier run of this job is being stopped"));
             return;
         }
         long waitMillis = expectedWaitMillis(progress, nowMillis);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -84,6 +84,21 @@
             assertThat(pool.idle()).isTrue();
         }
 
+        /** A refusal says that nothing has run, so the entry host would give the job to another zone. */
+        @Test
+        void doesNotCallAJobRefusedWhoseEarlierRunIsBeingStopped() {
+            own(2);
+            CallerJobId id = jobs.submit(SimulatedJobs.LONG, 2, 900);
+            world.runMillis = run -> 900;
+            world.run(pool, 50);
+            pool.cancel(id, "gone");
+            List<Kind> again = new ArrayList<>();
+            pool.submit(
+                    new PooledJob(id, SimulatedJobs.LONG, "work", 2, SimulatedJobs.shape(900), 0, 1_500),
+                    outcome -> again.add(outcome.kind()));
+            assertThat(again).containsExactly(Kind.ABANDONED);
+        }
+
         @Test
         void givesADrainingServerNothingNew() {
             own(1);
