Ask for the process id before any other thread runs

Ruled out before: memory, the class archive. Now the first statement of main asks for it, while no other thread of the product runs; Netty and the log find it already there.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
@@ -21,6 +21,7 @@
 
     /** Runs until SIGTERM. Exits with 2 if the settings are not valid and 1 if an address cannot be bound. */
     public static void main(String[] args) throws InterruptedException {
+        readProcessId();
         Logging.selectManager();
         int metricsPort = metricsPort(args);
         SettingsWatch watch;
@@ -45,6 +46,15 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitStop(process, settings.stopMillis()), "stop"));
     }
 
+    /**
+     * Lets the runtime read the process's id and start time from {@code /proc} while this is the only thread that makes system
+     * calls. Netty and the log ask for them later, when an event loop runs, and the process could end there with SIGILL where a
+     * preloaded library replaces system calls while they are made.
+     */
+    private static void readProcessId() {
+        ProcessHandle.current();
+    }
+
     private static int metricsPort(String[] args) {
         ArgumentParser parser = ArgumentParsers.newFor("banyanspoke-host").build();
         parser.description("Runs an entry host on the platform. The settings file is named by the environment.");
