--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -100,6 +100,16 @@
         }
     }
 
+    /** Returns the host's name. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the port for callers. */
+    public int callerPort() {
+        return callerPort;
+    }
+
     /** Returns the process. */
     public Process process() {
         return process;
