A dispatcher that stood still starts nothing that its callers may have sent elsewhere

A job sent to it in the pause waited in the connection. The entry host found the connection silent after 648 ms and answered 504; the caller sent the job to zone b 1.3 s later, where it began at 43.06. host-0 woke at 42.58, read the job, queued it, claimed its servers again with a new token at 43.29 and started it beside the other run. Ruled out by the log: orders with the old token (all refused), the new dispatcher of zone a (it never had the job), a restarted server (none until 8.9 s).

Change: work on a forwarded job ends when the connection is gone before the reply (PeerHandler.endingWithConnection), and a dispatcher refuses forwarded jobs for 150 ms after a standstill of 400 ms, as it may read them before it sees that the connection is closed.

Tests: PeerTransportTest.WorkThatEndsWithItsConnection, ZoneDispatcherTest.AfterAStandstill.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -102,7 +102,7 @@
                 clock,
                 new AllPoolEvents(List.of(new PoolLog(requestLog), metrics)));
         this.dispatcher = new ZoneDispatcher(
-                settings.host(), settings.zone(), settings.processorMillicores(), pool, tokens, registry);
+                settings.host(), settings.zone(), settings.processorMillicores(), pool, tokens, registry, clock);
         this.links = new HostLinks(transport, context, directory, clock, dispatcher::state);
         this.jobs = new JobForwarder(
                 settings.host(),
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.core.ownership.HostState;
@@ -22,6 +23,7 @@
 import org.banyanspoke.core.pool.SiteConfig;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.peer.PeerException;
+import org.banyanspoke.peer.PeerHandler;
 import org.banyanspoke.peer.PeerIdentity;
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.generated.Frame;
@@ -71,7 +73,7 @@
         this.router = router;
         this.observer = observer;
         this.clock = clock;
-        transport.handle(Frame.BodyCase.POOL_JOB, this::onPeerJob);
+        transport.handle(Frame.BodyCase.POOL_JOB, PeerHandler.endingWithConnection(this::onPeerJob));
         transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, this::onPeerCancel);
     }
 
@@ -217,11 +219,27 @@
                 });
     }
 
+    /**
+     * The job ends when the connection is gone before its reply: its caller has been told that the end is not known, and may
+     * have sent it to another host by now.
+     */
     private Single<Frame.Builder> onPeerJob(PeerIdentity from, Frame request) {
-        return Single.create(emitter -> context.runOnContext(unused -> dispatcher.submit(
-                from.host(),
-                PoolMessages.decode(request.getPoolJob()),
-                outcome -> emitter.onSuccess(Frame.newBuilder().setPoolJobReply(PoolMessages.encode(outcome))))));
+        PooledJob job = PoolMessages.decode(request.getPoolJob());
+        AtomicBoolean ended = new AtomicBoolean();
+        return Single.<Frame.Builder>create(emitter -> context.runOnContext(unused -> {
+                    if (emitter.isDisposed()) {
+                        return;
+                    }
+                    dispatcher.submit(from.host(), job, outcome -> {
+                        ended.set(true);
+                        emitter.onSuccess(Frame.newBuilder().setPoolJobReply(PoolMessages.encode(outcome)));
+                    });
+                }))
+                .doOnDispose(() -> context.runOnContext(unused -> {
+                    if (!ended.get()) {
+                        dispatcher.cancel(from.host(), job.id(), "the connection to the caller's entry host is gone");
+                    }
+                }));
     }
 
     private Single<Frame.Builder> onPeerCancel(PeerIdentity from, Frame request) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -22,6 +22,7 @@
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.ServerEntry;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.jboss.logging.Logger;
 
@@ -29,18 +30,26 @@
 final class ZoneDispatcher {
     private static final EventLog LOG = EventLog.of(ZoneDispatcher.class);
 
+    /** Time between two ticks after which this process was stopped, and peers may have given up what it reads now. */
+    private static final long STANDSTILL_MILLIS = 400;
+    /** In this time after a standstill the messages that waited for this process are read. */
+    private static final long CATCH_UP_MILLIS = 150;
+
     private final HostId host;
     private final ZoneId zone;
     private final long processorMillicores;
     private final ServerPool pool;
     private final FencingTokens tokens;
     private final ServerRegistry registry;
+    private final MonotonicClock clock;
     private final Map<CallerJobId, Set<HostId>> waitingHosts = new HashMap<>();
     private long registration;
     private long round;
     private boolean leaving;
     private boolean handingOver;
     private Set<ServerId> assigned = Set.of();
+    private long tickMillis;
+    private long caughtUpMillis;
 
     ZoneDispatcher(
             HostId host,
@@ -48,13 +57,17 @@
             long processorMillicores,
             ServerPool pool,
             FencingTokens tokens,
-            ServerRegistry registry) {
+            ServerRegistry registry,
+            MonotonicClock clock) {
         this.host = host;
         this.zone = zone;
         this.processorMillicores = processorMillicores;
         this.pool = pool;
         this.tokens = tokens;
         this.registry = registry;
+        this.clock = clock;
+        this.tickMillis = clock.millis();
+        this.caughtUpMillis = tickMillis;
     }
 
     /** Sets the number that the store gave this process. */
@@ -176,6 +189,8 @@
 
     /** Ends jobs of entry hosts that are not heard any more, and does what is due in the pool. */
     void tick(Predicate<HostId> hears) {
+        noteStandstill();
+        tickMillis = clock.millis();
         for (Map.Entry<CallerJobId, Set<HostId>> each : List.copyOf(waitingHosts.entrySet())) {
             each.getValue().removeIf(waiting -> !waiting.equals(host) && !hears.test(waiting));
             if (each.getValue().isEmpty()) {
@@ -188,12 +203,31 @@
         }
     }
 
-    /** Takes a job that an entry host has read. */
+    private void noteStandstill() {
+        long nowMillis = clock.millis();
+        if (nowMillis - tickMillis >= STANDSTILL_MILLIS) {
+            caughtUpMillis = nowMillis + CATCH_UP_MILLIS;
+            LOG.event(Logger.Level.WARN, "this process stood still")
+                    .with("stoodMillis", nowMillis - tickMillis)
+                    .write();
+            tickMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Takes a job that an entry host has read. Refuses jobs that may have waited in a connection while this process stood still:
+     * their entry hosts may have told the callers so, who have sent them elsewhere.
+     */
     void submit(HostId from, PooledJob job, Consumer<JobOutcome> whenEnded) {
         if (!dispatching()) {
             whenEnded.accept(JobOutcome.refused("this host does not dispatch", 1));
             return;
         }
+        noteStandstill();
+        if (!from.equals(host) && clock.millis() < caughtUpMillis) {
+            whenEnded.accept(JobOutcome.refused("this host stood still", 1));
+            return;
+        }
         waitingHosts.computeIfAbsent(job.id(), key -> new HashSet<>()).add(from);
         pool.submit(job, outcome -> {
             waitingHosts.remove(job.id());
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ServerId;
@@ -34,8 +35,15 @@
 
     private final ServerRegistry registry = new ServerRegistry(() -> 1);
     private final Pool pool = new Pool();
+    private long nowMillis = 5_000;
     private final ZoneDispatcher dispatcher = new ZoneDispatcher(
-            new HostId("weak"), ZONE, 270, pool, new FencingTokens(() -> 1_800_000_000_000L), registry);
+            new HostId("weak"),
+            ZONE,
+            270,
+            pool,
+            new FencingTokens(() -> 1_800_000_000_000L),
+            registry,
+            () -> TimeUnit.MILLISECONDS.toNanos(nowMillis));
     private final HostState strong =
             new HostState(new HostId("strong"), ZONE, 9, 1_500, false, 0, Set.of(), PoolLoad.NONE);
 
@@ -98,6 +106,10 @@
     }
 
     private JobOutcome.Kind submitted() {
+        return submittedFrom(new HostId("weak"));
+    }
+
+    private JobOutcome.Kind submittedFrom(HostId from) {
         JobOutcome.Kind[] kind = new JobOutcome.Kind[1];
         PooledJob job = new PooledJob(
                 new CallerJobId("00000000000000aa"),
@@ -107,7 +119,7 @@
                 new TaskShape(1, 1, 0, 60, "", "", 0),
                 0,
                 1_500);
-        dispatcher.submit(new HostId("weak"), job, outcome -> kind[0] = outcome.kind());
+        dispatcher.submit(from, job, outcome -> kind[0] = outcome.kind());
         return kind[0];
     }
 
@@ -152,4 +164,38 @@
         dispatcher.review(List.of(strong));
         assertThat(dispatcher.state().held()).containsExactly(SECOND);
     }
+
+    /** Soak seed 10: a paused dispatcher started a job that its caller had sent to another zone meanwhile. */
+    @Nested
+    class AfterAStandstill {
+        private static final HostId ENTRY_HOST = new HostId("other");
+
+        @BeforeEach
+        void standStill() {
+            dispatcher.tick(host -> true);
+            nowMillis += 650;
+        }
+
+        @Test
+        void refusesWhatWaitedInAConnection() {
+            assertThat(submittedFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.REFUSED);
+            dispatcher.tick(host -> true);
+            nowMillis += 20;
+            assertThat(submittedFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.REFUSED);
+        }
+
+        @Test
+        void takesJobsAgainWhenItHasCaughtUp() {
+            for (int i = 0; i < 10; i++) {
+                dispatcher.tick(host -> true);
+                nowMillis += 20;
+            }
+            assertThat(submittedFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.COMPLETED);
+        }
+
+        @Test
+        void takesJobsOfItsOwnCallers() {
+            assertThat(submitted()).isEqualTo(JobOutcome.Kind.COMPLETED);
+        }
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -40,6 +40,8 @@
     private static final long STEP_MILLIS = 10;
     private static final int CALM_JOBS = 40;
     private static final long CALM_GAP_MILLIS = 50;
+    /** Short, so that the jobs need an eighth of the room, and a refusal is a fault. */
+    private static final long CALM_RUN_MILLIS = 60;
 
     private final Vertx vertx = Vertx.vertx();
     private final RunLedger ledger = new RunLedger(true);
@@ -124,7 +126,7 @@
     private void serveInCalm(long seed) throws Exception {
         SoakCallers callers = new SoakCallers(vertx, ledger, site.hosts(), this::keptFromAnswering, -seed);
         for (int i = 0; i < CALM_JOBS; i++) {
-            callers.send();
+            callers.send(CALM_RUN_MILLIS);
             Thread.sleep(CALM_GAP_MILLIS);
         }
         within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakCallers.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakCallers.java
@@ -39,6 +39,7 @@
     private final Map<String, Integer> results = new TreeMap<>();
     private final List<String> violations = new ArrayList<>();
     private final List<Job> refused = new ArrayList<>();
+    private final int series;
     private int sent;
     private int open;
 
@@ -55,17 +56,22 @@
         this.hosts = hosts;
         this.excuse = excuse;
         this.random = new Random(seed);
+        this.series = random.nextInt() & Integer.MAX_VALUE;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout(1_000), new PoolOptions().setHttp1MaxSize(CONNECTIONS));
     }
 
+    /** Sends one new job of any usual run time. */
+    void send() {
+        send(RUN_MILLIS[random.nextInt(RUN_MILLIS.length)]);
+    }
+
     /** Sends one new job. */
-    synchronized void send() {
+    synchronized void send(long runMillis) {
         sent++;
         int tasks = 1 + random.nextInt(MAX_TASKS);
-        long runMillis = RUN_MILLIS[random.nextInt(RUN_MILLIS.length)];
         open++;
-        send(new Job("%016x".formatted(sent), tasks, runMillis, System.nanoTime()), 1);
+        send(new Job("%08x%08x".formatted(series, sent), tasks, runMillis, System.nanoTime()), 1);
     }
 
     private void send(Job job, int attempt) {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -13,9 +13,16 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** One entry host as a process of its own, with its settings file and its output. */
 public final class HostUnderTest {
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 15_000;
+    /** Processes that run at the same time begin at different ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 251 % PORTS));
+
     private final String name;
     private final Path folder;
     private final int callerPort = freePort();
@@ -34,11 +41,15 @@
         this.folder = folder;
     }
 
+    /** Returns a port that the system gives to no outgoing connection, as a host's ports have to be free at each start. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException("no free port", e);
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // Something listens there; the next one may be free.
+            }
         }
     }
 
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerHandler.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerHandler.java
@@ -14,4 +14,24 @@
      * @return the reply; its id is set by the transport. An error is reported to the sender as a failure.
      */
     Single<Frame.Builder> handle(PeerIdentity from, Frame request);
+
+    /** Returns whether the work on a request ends, by disposal of the reply, when the connection it came over has closed. */
+    default boolean endsWithConnection() {
+        return false;
+    }
+
+    /** Returns a handler whose work on a request is of no use once the sender can't get the reply any more. */
+    static PeerHandler endingWithConnection(PeerHandler handler) {
+        return new PeerHandler() {
+            @Override
+            public Single<Frame.Builder> handle(PeerIdentity from, Frame request) {
+                return handler.handle(from, request);
+            }
+
+            @Override
+            public boolean endsWithConnection() {
+                return true;
+            }
+        };
+    }
 }
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
@@ -5,6 +5,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.banyanspoke.peer.FrameFilter;
@@ -25,6 +26,7 @@
     private final TransportLimits limits;
     private final FrameFilter filter;
     private final Map<Frame.BodyCase, PeerHandler> handlers;
+    private final CompositeDisposable endingWithConnection = new CompositeDisposable();
     private PeerIdentity peer;
 
     /**
@@ -73,6 +75,12 @@
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        endingWithConnection.dispose();
+        context.fireChannelInactive();
+    }
+
     /** Stops reading requests while replies wait to be written. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
@@ -91,10 +99,12 @@
             reply(context, frame, failure("no handler for " + frame.getBodyCase()));
             return;
         }
+        // A container removes what has ended, so it holds open requests only.
         var unused = Single.defer(() -> handler.handle(peer, frame))
                 .subscribe(
                         answer -> context.executor().execute(() -> reply(context, frame, answer)),
-                        e -> context.executor().execute(() -> reply(context, frame, failure(String.valueOf(e)))));
+                        e -> context.executor().execute(() -> reply(context, frame, failure(String.valueOf(e)))),
+                        handler.endsWithConnection() ? endingWithConnection : new CompositeDisposable());
     }
 
     private void reply(ChannelHandlerContext context, Frame request, Frame.Builder answer) {
--- a/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
+++ b/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -353,4 +354,39 @@
             }
         }
     }
+
+    /** Guards against a job that a host starts though its sender is gone and has told the caller so. */
+    @Nested
+    class WorkThatEndsWithItsConnection {
+        private final CountDownLatch asked = new CountDownLatch(1);
+        private final CountDownLatch disposed = new CountDownLatch(1);
+
+        private void stopSenderWhileItWaits(boolean endsWithConnection) throws Exception {
+            PeerHandler handler = (from, frame) -> {
+                asked.countDown();
+                return SingleSubject.<Frame.Builder>create().doOnDispose(disposed::countDown);
+            };
+            server.handle(
+                    Frame.BodyCase.JOB_FORWARD,
+                    endsWithConnection ? PeerHandler.endingWithConnection(handler) : handler);
+            PeerTransport sender = start("h3", LIMITS, FrameFilter.NONE);
+            var unused =
+                    sender.request(serverAddress, forward("job", 1), 10_000).subscribe(reply -> {}, error -> {});
+            assertThat(asked.await(10, TimeUnit.SECONDS)).isTrue();
+            assertThat(disposed.getCount()).isEqualTo(1);
+            sender.stop();
+        }
+
+        @Test
+        void isDisposedOfWhenTheSenderIsGone() throws Exception {
+            stopSenderWhileItWaits(true);
+            assertThat(disposed.await(10, TimeUnit.SECONDS)).isTrue();
+        }
+
+        @Test
+        void goesOnOtherwise() throws Exception {
+            stopSenderWhileItWaits(false);
+            assertThat(disposed.await(1, TimeUnit.SECONDS)).isFalse();
+        }
+    }
 }
