--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -22,7 +22,8 @@
  * Random faults from a seed against entry hosts as separate processes. Guards against doubled runs, starts beyond room, wrong and
  * missing answers, and a site that does not serve again once all faults have ended.
  *
- * <p>Runs seeds 1 and 2 for 20 s each. {@code bin/soak} runs others, longer, or with more hosts.
+ * <p>Runs seed 1 and those that have failed once (docs/developers.md has the causes), for 20 s each. {@code bin/soak} runs others,
+ * longer, or with more hosts.
  */
 class FaultSoakTest {
     private static final List<Long> SEEDS = seeds();
@@ -54,7 +55,7 @@
 
     /** Seeds as {@code 1,2,7-9}. */
     private static List<Long> seeds() {
-        return Arrays.stream(System.getProperty("soak.seeds", "1,2").split(","))
+        return Arrays.stream(System.getProperty("soak.seeds", "1,10").split(","))
                 .flatMap(FaultSoakTest::range)
                 .toList();
     }
