--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -35,6 +35,8 @@
     /** In this time after a standstill the messages that waited for this process are read. */
     private static final long CATCH_UP_MILLIS = 150;
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final HostId host;
     private final ZoneId zone;
     private final long processorMillicores;
@@ -48,7 +50,7 @@
     private boolean leaving;
     private boolean handingOver;
     private Set<ServerId> assigned = Set.of();
-    private long tickMillis;
+    private long tickMillis = NEVER;
     private long caughtUpMillis;
 
     ZoneDispatcher(
@@ -66,8 +68,7 @@
         this.tokens = tokens;
         this.registry = registry;
         this.clock = clock;
-        this.tickMillis = clock.millis();
-        this.caughtUpMillis = tickMillis;
+        this.caughtUpMillis = clock.millis();
     }
 
     /** Sets the number that the store gave this process. */
@@ -205,7 +206,7 @@
 
     private void noteStandstill() {
         long nowMillis = clock.millis();
-        if (nowMillis - tickMillis >= STANDSTILL_MILLIS) {
+        if (tickMillis != NEVER && nowMillis - tickMillis >= STANDSTILL_MILLIS) {
             caughtUpMillis = nowMillis + CATCH_UP_MILLIS;
             LOG.event(Logger.Level.WARN, "this process stood still")
                     .with("stoodMillis", nowMillis - tickMillis)
