--- a/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/SettingsCommands.java
+++ b/banyanspoke-cli/src/main/java/org/banyanspoke/cli/commands/SettingsCommands.java
@@ -8,10 +8,12 @@
 import org.banyanspoke.cli.InputFile;
 import org.banyanspoke.cli.Output;
 import org.banyanspoke.cli.UsageException;
+import org.banyanspoke.platform.PlatformException;
+import org.banyanspoke.platform.PlatformSettings;
 import org.banyanspoke.settings.SettingsException;
 import org.banyanspoke.settings.SettingsReader;
 
-/** Subcommands for settings files: {@code settings check}. They use no entry host. */
+/** Subcommands for settings files: {@code settings check} and {@code settings check-platform}. They use no entry host. */
 public final class SettingsCommands {
     private final InputFile input;
 
@@ -23,7 +25,7 @@
     /** Adds the subcommands to a parser. */
     public void register(Subparsers parsers) {
         Subparsers settings = parsers.addParser("settings")
-                .help("check settings files of the daemon")
+                .help("check settings files")
                 .addSubparsers()
                 .title("subcommands")
                 .metavar("SUBCOMMAND");
@@ -32,6 +34,17 @@
         Subparser parser =
                 settings.addParser("check").help(help).description(help).setDefault("command", check);
         parser.addArgument("file").metavar("FILE").help("settings as JSON with comments, or - for standard input");
+        String platformHelp =
+                "check the platform's settings file of an entry host as the host does and report every fault;"
+                        + " exit code 2 if there is one";
+        Command checkPlatform = this::checkPlatform;
+        settings.addParser("check-platform")
+                .help(platformHelp)
+                .description(platformHelp)
+                .setDefault("command", checkPlatform)
+                .addArgument("file")
+                .metavar("FILE")
+                .help("settings as TOML, or - for standard input");
     }
 
     private ExitCode check(Namespace arguments, Output output) throws UsageException {
@@ -45,4 +58,16 @@
         output.result(Map.of("valid", true), "\"" + file + "\" is valid");
         return ExitCode.SUCCESS;
     }
+
+    private ExitCode checkPlatform(Namespace arguments, Output output) throws UsageException {
+        String file = arguments.getString("file");
+        try {
+            var unused = PlatformSettings.parse(input.text(file));
+        } catch (PlatformException e) {
+            output.error(e.getMessage(), "\"" + file + "\": " + e.getMessage());
+            return ExitCode.USAGE;
+        }
+        output.result(Map.of("valid", true), "\"" + file + "\" is valid");
+        return ExitCode.SUCCESS;
+    }
 }
--- a/banyanspoke-cli/src/test/java/org/banyanspoke/cli/CommandLineTest.java
+++ b/banyanspoke-cli/src/test/java/org/banyanspoke/cli/CommandLineTest.java
@@ -165,6 +165,43 @@
             assertThat(run("settings", "check", "missing.json")).isEqualTo(ExitCode.USAGE);
         }
 
+        /** Guards against one start of an entry host for each fault in the platform's file. */
+        @Test
+        void everyFaultOfThePlatformsFileIsReportedAtOnce() throws IOException {
+            String faulty = file("node = \"n\"\nzone = \"a\"\n[listen]\nfront = \"nowhere\"\n[bounds]\ngrace_s = 0\n");
+            assertThat(run("settings", "check-platform", faulty)).isEqualTo(ExitCode.USAGE);
+            assertThat(err())
+                    .contains("/ip is missing, not a text")
+                    .contains("/listen/front is \"nowhere\", not ip:port")
+                    .contains("/bounds/grace_s is 0, not a number from 1.0 to 3600.0");
+            assertThat(run("--json", "settings", "check-platform", faulty)).isEqualTo(ExitCode.USAGE);
+            assertThat(out()).startsWith("{\"error\":\"settings: /ip is missing");
+        }
+
+        @Test
+        void aValidFileOfThePlatformIsAccepted() throws IOException {
+            String valid = file(String.join(
+                    "\n",
+                    "node = \"n\"",
+                    "ip = \"127.0.0.1\"",
+                    "zone = \"a\"",
+                    "port_range = [9000, 9010]",
+                    "[listen]",
+                    "front = \"127.0.0.1:1\"",
+                    "ready = \"127.0.0.1:2\"",
+                    "[limits]",
+                    "cpu_share = 0.5",
+                    "cores = 1",
+                    "[bounds]",
+                    "grace_s = 6",
+                    "max_hold_ms = 1000",
+                    "far_factor = 2",
+                    "[platform]",
+                    "address = \"127.0.0.1:3\""));
+            assertThat(run("settings", "check-platform", valid)).isEqualTo(ExitCode.SUCCESS);
+            assertThat(out()).contains("is valid");
+        }
+
         /** Guards against an example in docs/api.md that the check does not accept. */
         @Test
         void theExampleOfThePageIsValid() throws IOException {
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -132,6 +132,12 @@
             checks.cancel(false);
             listener.close().await();
         }
+        if (!eventLoop.isShuttingDown()) {
+            // The end of the event loop alone does not always close a connection before it stops looking at it.
+            eventLoop
+                    .submit(() -> List.copyOf(connections.values()).forEach(OpenedConnection::stop))
+                    .await();
+        }
         eventLoop.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
     }
 
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/OpenedConnection.java
@@ -225,6 +225,11 @@
         }
     }
 
+    /** Closes the connection; requests without reply fail. */
+    public void stop() {
+        close("the transport has stopped", null);
+    }
+
     private void close(String reason, Throwable cause) {
         if (closed) {
             return;
