--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
@@ -16,6 +14,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
 import org.banyanspoke.host.standins.LeasedServer;
 import org.banyanspoke.host.standins.RunLedger;
@@ -25,6 +24,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -46,27 +46,14 @@
     private final Map<String, CompletableFuture<HttpResponse<String>>> sent = new LinkedHashMap<>();
     private final List<HostUnderTest> hosts = new ArrayList<>();
 
-    @TempDir
+    /** The output of the hosts stays if a test fails. */
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path folder;
 
-    /** A condition that is looked at again and again. */
-    private interface Condition {
-        boolean holds() throws InterruptedException;
-    }
-
     @BeforeEach
     void startHosts() throws Exception {
         await(store.start());
-        JsonObject route = new JsonObject()
-                .put("name", "queue")
-                .put("host", "127.0.0.1")
-                .put("path_prefix", "/q/")
-                .put("service", "service")
-                .put("attempts", 3)
-                .put("stretch", 1.6)
-                .put("target_latency_ms", 60);
-        store.put(
-                "keyed.op", "config", new JsonObject().put("version", 1).put("routes", new JsonArray(List.of(route))));
+        store.putConfiguration(1, 1.6);
         for (int i = 0; i < SERVERS; i++) {
             LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
             await(server.start());
@@ -100,14 +87,8 @@
         future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
 
-    private static void within(long millis, Condition condition) throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        while (!condition.holds()) {
-            assertThat(System.nanoTime())
-                    .as("the condition holds within %d ms", millis)
-                    .isLessThan(endNanos);
-            Thread.sleep(20);
-        }
+    private static void within(long millis, Eventually.Condition condition) throws InterruptedException {
+        Eventually.within(millis, condition, "the condition holds");
     }
 
     private String send(HostUnderTest host, int tasks, long runMillis) {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.RunLedger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -84,19 +85,19 @@
         plan = FaultPlan.draw(seed, RUN_MILLIS, HOSTS, SERVERS);
         site = new SoakSite(vertx, ledger, folder);
         site.start(HOSTS, SERVERS);
-        within(START_MILLIS, site::isWhole, "the site starts");
+        Eventually.within(START_MILLIS, site::isWhole, "the site starts");
         SoakCallers callers = new SoakCallers(vertx, ledger, site.hosts(), this::keptFromAnswering, seed);
         originNanos = System.nanoTime();
         playFaults(callers);
         site.healAll(STOP_MILLIS);
-        within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
+        Eventually.within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
         List<String> violations = new ArrayList<>(callers.violations());
         violations.addAll(ledger.violations());
         System.out.printf(
                 "seed %d: %d faults, %s, violations %s, in %s%n",
                 seed, plan.size(), callers.results(), violations, folder);
         assertThat(violations).isEmpty();
-        within(RECOVERY_MILLIS, site::isWhole, "the site is whole again");
+        Eventually.within(RECOVERY_MILLIS, site::isWhole, "the site is whole again");
         serveInCalm(seed);
     }
 
@@ -130,7 +131,7 @@
             callers.send(CALM_RUN_MILLIS);
             Thread.sleep(CALM_GAP_MILLIS);
         }
-        within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
+        Eventually.within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
         assertThat(callers.results()).as("results without faults").containsOnlyKeys("answer 200");
     }
 
@@ -148,19 +149,6 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - originNanos);
     }
 
-    private static void within(long millis, Condition condition, String what) throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        while (!condition.holds()) {
-            assertThat(System.nanoTime()).as("%s within %d ms", what, millis).isLessThan(endNanos);
-            Thread.sleep(50);
-        }
-    }
-
-    /** A condition that is looked at again and again. */
-    private interface Condition {
-        boolean holds() throws InterruptedException;
-    }
-
     @Nested
     class APlan {
         @Test
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
@@ -2,8 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -90,18 +88,7 @@
 
     private void changeConfiguration() {
         configurationVersion++;
-        JsonObject route = new JsonObject()
-                .put("name", "queue")
-                .put("host", "127.0.0.1")
-                .put("path_prefix", "/q/")
-                .put("service", "service")
-                .put("attempts", 3)
-                .put("stretch", 1.5 + configurationVersion % 3 * 0.1)
-                .put("target_latency_ms", 60);
-        store.put(
-                "keyed.op",
-                "config",
-                new JsonObject().put("version", configurationVersion).put("routes", new JsonArray(List.of(route))));
+        store.putConfiguration(configurationVersion, 1.5 + configurationVersion % 3 * 0.1);
     }
 
     private static void await(Future<?> future) throws Exception {
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/Eventually.java
@@ -0,0 +1,32 @@
+package org.banyanspoke.host.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+
+/** Waits for what processes do in their own time. */
+public final class Eventually {
+    private static final long STEP_MILLIS = 20;
+
+    /** A condition that is looked at again and again. */
+    @FunctionalInterface
+    public interface Condition {
+        /** Returns whether it holds now. */
+        boolean holds() throws InterruptedException;
+    }
+
+    private Eventually() {}
+
+    /**
+     * Waits until a condition holds; fails if it does not in time.
+     *
+     * @param what shown in the failure
+     */
+    public static void within(long millis, Condition condition, String what) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!condition.holds()) {
+            assertThat(System.nanoTime()).as("%s within %d ms", what, millis).isLessThan(endNanos);
+            Thread.sleep(STEP_MILLIS);
+        }
+    }
+}
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -70,6 +70,26 @@
         append(topic, new Entry(key, value.toBuffer().getBytes()));
     }
 
+    /**
+     * Writes a configuration with one queue, as the operators do.
+     *
+     * @param stretch longest time of a job that is in time, in times of its work
+     */
+    public void putConfiguration(int version, double stretch) {
+        JsonObject route = new JsonObject()
+                .put("name", "queue")
+                .put("host", "127.0.0.1")
+                .put("path_prefix", "/q/")
+                .put("service", "service")
+                .put("attempts", 3)
+                .put("stretch", stretch)
+                .put("target_latency_ms", 60);
+        put(
+                "keyed.op",
+                "config",
+                new JsonObject().put("version", version).put("routes", new JsonArray(List.of(route))));
+    }
+
     /** Removes a key as the platform does when a server has been silent. */
     public synchronized void remove(String topic, String key) {
         append(topic, new Entry(key, new byte[0]));
