Process tests begin when the stronger host dispatches for good

For the two ACalmSite cases there is no output; the time of the refusal (0.2 s after the begin) fits. Refusing such a job is true and allowed: nothing of it ran. The tests now wait until the stronger host has owned all servers for 1.5 s; what they demand is unchanged.

--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -37,6 +37,8 @@
     private static final int SERVERS = 6;
     /** A start of a Java process beside a full machine takes several seconds. */
     private static final long START_MILLIS = 40_000;
+    /** Longer than a host waits before it takes the servers (0.3 s) and hands them over again. */
+    private static final long SETTLED_MILLIS = 1_500;
     /** A dispatcher is followed within 0.7 s of silence and the end of the leases of 1.14 s; the rest is for a slow machine. */
     private static final long SUCCESSION_MILLIS = 10_000;
 
@@ -61,10 +63,16 @@
         }
         startHost("strong", 2.0);
         startHost("weak", 0.5);
-        within(START_MILLIS, () -> hosts.get(0).metric("pool_capacity_millicores") == SERVERS * CAPACITY_MILLICORES);
-        within(
+        // A host that has not heard of the dispatcher yet takes the servers for a moment, and jobs are refused
+        // meanwhile.
+        Eventually.steadyWithin(
                 START_MILLIS,
-                () -> hosts.get(1).readiness() == 200 && hosts.get(1).metric("peers_heard") == 1);
+                SETTLED_MILLIS,
+                () -> hosts.get(0).metric("pool_capacity_millicores") == SERVERS * CAPACITY_MILLICORES
+                        && hosts.get(1).metric("pool_capacity_millicores") == 0
+                        && hosts.get(1).readiness() == 200
+                        && hosts.get(1).metric("peers_heard") == 1,
+                "the stronger host dispatches for good");
     }
 
     private void startHost(String name, double processors) throws IOException {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/Eventually.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/Eventually.java
@@ -29,4 +29,24 @@
             Thread.sleep(STEP_MILLIS);
         }
     }
+
+    /**
+     * Waits until a condition has held for a time without a break; fails if it has not in time.
+     *
+     * @param heldMillis how long it has to hold
+     * @param what shown in the failure
+     */
+    public static void steadyWithin(long millis, long heldMillis, Condition condition, String what)
+            throws InterruptedException {
+        long[] sinceNanos = {System.nanoTime()};
+        within(
+                millis,
+                () -> {
+                    if (!condition.holds()) {
+                        sinceNanos[0] = System.nanoTime();
+                    }
+                    return System.nanoTime() - sinceNanos[0] >= TimeUnit.MILLISECONDS.toNanos(heldMillis);
+                },
+                what);
+    }
 }
