Read the change again: no load of the pool for a tick, one copy of what stood twice

A host asked for its whole state, with a look at every server, only to see whether it claims to dispatch, at each tick of 20 ms; it asks for the claim now. Requests whose work does not end with their connection got a container each, which nothing used. The body of a caller's job, the wait for a future, the routed job of two tests and the refusal without dispatcher stood twice. Link.Mode.SILENT was never set. Behaviour, bounds and assertions are unchanged. Tests of the host, the transport, placement and router: 39 passed.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
@@ -6,11 +6,7 @@
 import java.util.Set;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ZoneId;
-import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.PoolLoad;
-import org.banyanspoke.core.pool.PooledJob;
-import org.banyanspoke.core.pool.QueueTerms;
-import org.banyanspoke.core.pool.TaskShape;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -22,18 +18,7 @@
 
     private long nowMillis = 10_000;
     private final JobPlacement placement =
-            new JobPlacement(job(), new JobRouter(new ZoneId("a")), () -> nowMillis * 1_000_000);
-
-    private static PooledJob job() {
-        return new PooledJob(
-                new CallerJobId("00000000000000aa"),
-                new QueueTerms("q", "s", 0, 3, 1.6, 60),
-                "",
-                8,
-                new TaskShape(7_000, 64, 0, 100, "", "", 0),
-                0,
-                1_500);
-    }
+            new JobPlacement(RoutedJobs.ofEightTasks(), new JobRouter(new ZoneId("a")), () -> nowMillis * 1_000_000);
 
     private static HostState dispatcher(String zone, PoolLoad load) {
         return new HostState(new HostId("h-" + zone), new ZoneId(zone), 1, 1_000, false, 1, Set.of(), load);
@@ -69,7 +54,7 @@
         void isNotPassedOnWhenItsEndWouldBeOfNoUse() {
             List<HostState> all = List.of(dispatcher("a", EMPTY), dispatcher("b", EMPTY));
             assertThat(placement.next(all)).isPresent();
-            nowMillis += job().usefulMillis();
+            nowMillis += RoutedJobs.ofEightTasks().usefulMillis();
             assertThat(placement.next(all)).isEmpty();
         }
     }
@@ -88,7 +73,9 @@
 
         @Test
         void aJobIsRefusedOnceItsEndWouldBeOfNoUse() {
-            nowMillis += job().usefulMillis() - job().shortestMillis() + 1;
+            nowMillis += RoutedJobs.ofEightTasks().usefulMillis()
+                    - RoutedJobs.ofEightTasks().shortestMillis()
+                    + 1;
             assertThat(placement.next(List.of())).isEmpty();
             assertThat(placement.waits()).isFalse();
         }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
@@ -8,11 +8,7 @@
 import java.util.Set;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ZoneId;
-import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.PoolLoad;
-import org.banyanspoke.core.pool.PooledJob;
-import org.banyanspoke.core.pool.QueueTerms;
-import org.banyanspoke.core.pool.TaskShape;
 import org.junit.jupiter.api.Test;
 
 /** Guards against queues in one zone while another has room, and against traffic between zones without need. */
@@ -31,27 +27,18 @@
                 new PoolLoad(200_000, free, 0, 0, queuedMillicores, 300));
     }
 
-    private static PooledJob job() {
-        return new PooledJob(
-                new CallerJobId("00000000000000aa"),
-                new QueueTerms("q", "s", 0, 3, 1.6, 60),
-                "",
-                8,
-                new TaskShape(7_000, 64, 0, 100, "", "", 0),
-                0,
-                1_500);
-    }
-
     @Test
     void aJobStaysInItsZoneWhileThereIsRoom() {
-        assertThat(router.choose(job(), List.of(dispatcher("a", 100_000, 0), dispatcher("b", 200_000, 0))))
+        assertThat(router.choose(
+                        RoutedJobs.ofEightTasks(), List.of(dispatcher("a", 100_000, 0), dispatcher("b", 200_000, 0))))
                 .map(HostState::zone)
                 .contains(new ZoneId("a"));
     }
 
     @Test
     void aJobLeavesAZoneWithAQueue() {
-        assertThat(router.choose(job(), List.of(dispatcher("a", 0, 200_000), dispatcher("b", 100_000, 0))))
+        assertThat(router.choose(
+                        RoutedJobs.ofEightTasks(), List.of(dispatcher("a", 0, 200_000), dispatcher("b", 100_000, 0))))
                 .map(HostState::zone)
                 .contains(new ZoneId("b"));
     }
@@ -61,7 +48,8 @@
         List<HostState> all = List.of(dispatcher("a", 60_000, 0), dispatcher("b", 60_000, 0));
         Map<ZoneId, Integer> counts = new HashMap<>();
         for (int i = 0; i < 40; i++) {
-            router.choose(job(), all).ifPresent(chosen -> counts.merge(chosen.zone(), 1, Integer::sum));
+            router.choose(RoutedJobs.ofEightTasks(), all)
+                    .ifPresent(chosen -> counts.merge(chosen.zone(), 1, Integer::sum));
         }
         assertThat(counts.get(new ZoneId("b"))).isBetween(10, 25);
     }
@@ -71,13 +59,15 @@
         HostState leaving = new HostState(
                 new HostId("h"), new ZoneId("a"), 1, 1_000, true, 1, Set.of(), new PoolLoad(1, 1, 0, 0, 0, 0));
         HostState empty = new HostState(new HostId("h"), new ZoneId("a"), 1, 1_000, false, 1, Set.of(), PoolLoad.NONE);
-        assertThat(router.choose(job(), List.of(leaving, empty))).isEmpty();
+        assertThat(router.choose(RoutedJobs.ofEightTasks(), List.of(leaving, empty)))
+                .isEmpty();
     }
 
     /** Tasks of 60 ms that wait behind tasks of 300 ms wait for those, not for their own kind. */
     @Test
     void aWideJobLeavesAZoneThatHasRoomForHalfOfItOnly() {
-        assertThat(router.choose(job(), List.of(dispatcher("a", 28_000, 0), dispatcher("b", 200_000, 0))))
+        assertThat(router.choose(
+                        RoutedJobs.ofEightTasks(), List.of(dispatcher("a", 28_000, 0), dispatcher("b", 200_000, 0))))
                 .map(HostState::zone)
                 .contains(new ZoneId("b"));
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -186,7 +186,7 @@
 
     /** Hosts that neither dispatch nor stop nor have jobs without a dispatcher sleep longer. */
     private void scheduleTick() {
-        boolean busy = dispatcher.state().dispatching() || jobs.waitingJobs() > 0 || stopRequestedMillis >= 0;
+        boolean busy = dispatcher.claims() || jobs.waitingJobs() > 0 || stopRequestedMillis >= 0;
         vertx.setTimer(busy ? TICK_MILLIS : IDLE_TICK_MILLIS, unused -> {
             scheduleTick();
             tick();
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -38,6 +38,9 @@
     /** A dispatcher that is lost has a successor after this time. */
     private static final long NO_DISPATCHER_RETRY_MILLIS = 1_000;
 
+    private static final JobOutcome NO_DISPATCHER =
+            JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS);
+
     private final HostId host;
     private final PeerTransport transport;
     private final Context context;
@@ -112,14 +115,14 @@
     public void submit(PooledJob job, Consumer<JobOutcome> whenEnded) {
         OpenJob opened = new OpenJob(job, new JobPlacement(job, router, clock), whenEnded);
         open.put(job.id(), opened);
-        place(opened, JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
+        place(opened, NO_DISPATCHER);
     }
 
     /** Gives jobs that wait for a dispatcher another try. */
     void tick() {
         for (OpenJob each : List.copyOf(waiting)) {
             waiting.remove(each);
-            place(each, JobOutcome.refused("no dispatcher is known", NO_DISPATCHER_RETRY_MILLIS));
+            place(each, NO_DISPATCHER);
         }
     }
 
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -93,6 +93,11 @@
         return round > 0 ? pool.load() : PoolLoad.NONE;
     }
 
+    /** Returns whether this host claims to dispatch, be it only for servers that it hands over. */
+    boolean claims() {
+        return round > 0;
+    }
+
     boolean dispatching() {
         return round > 0 && !leaving && !handingOver;
     }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -54,11 +54,11 @@
 
     @BeforeEach
     void startHosts() throws Exception {
-        await(store.start());
+        Eventually.done(store.start());
         store.putConfiguration(1, 1.6);
         for (int i = 0; i < SERVERS; i++) {
             LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
-            await(server.start());
+            Eventually.done(server.start());
             store.put("keyed.servers", "i-" + i, server.entry("a"));
         }
         startHost("strong", 2.0);
@@ -87,14 +87,10 @@
         for (HostUnderTest host : hosts) {
             host.kill();
         }
-        await(vertx.close());
+        Eventually.done(vertx.close());
         assertThat(ledger.violations()).isEmpty();
     }
 
-    private static void await(io.vertx.core.Future<?> future) throws Exception {
-        future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-    }
-
     private static void within(long millis, Eventually.Condition condition) throws InterruptedException {
         Eventually.within(millis, condition, "the condition holds");
     }
@@ -210,7 +206,7 @@
         @Test
         void takesTheNewAddressOfTheStore() throws Exception {
             StoreStandin moved = new StoreStandin(vertx);
-            PlatformProcessesTest.await(moved.start());
+            Eventually.done(moved.start());
             hosts.get(0).settings("a", 2.0, moved.address());
             hosts.get(0).signal("HUP");
             within(5_000, () -> hosts.get(0).hasWritten("settings changed"));
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -76,7 +76,7 @@
         if (site != null) {
             site.close();
         }
-        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        Eventually.done(vertx.close());
     }
 
     @ParameterizedTest(name = "seed {0}")
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/Link.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/Link.java
@@ -9,7 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A loopback TCP proxy whose connections can be delayed, reset, refused, or silenced in one direction or both. */
+/** A loopback TCP proxy whose connections can be delayed, reset, refused, or silenced in one direction. */
 final class Link {
     /** What the proxy does with its connections. */
     enum Mode {
@@ -22,9 +22,7 @@
         /** Holds back what goes to the target, as a cut of one direction does. */
         REQUESTS_SILENT,
         /** Holds back what comes from the target. */
-        ANSWERS_SILENT,
-        /** Holds back everything. */
-        SILENT
+        ANSWERS_SILENT
     }
 
     private static final long DELAY_MILLIS = 150;
@@ -69,7 +67,6 @@
         void apply() {
             switch (mode()) {
                 case REFUSED -> from.close();
-                case SILENT -> from.pause();
                 case REQUESTS_SILENT -> hold(toTarget);
                 case ANSWERS_SILENT -> hold(!toTarget);
                 case OPEN, DELAYED -> from.resume();
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakCallers.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakCallers.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.banyanspoke.host.standins.HostUnderTest;
 import org.banyanspoke.host.standins.RunLedger;
 
 /**
@@ -78,9 +79,7 @@
         int host = random.nextInt(hosts.size());
         long sentNanos = System.nanoTime();
         long remainingMillis = DEADLINE_MILLIS - elapsedMillis(job.firstNanos());
-        String body =
-                "{\"spec\":\"%d\",\"best_effort\":true,\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":64,\"est_runtime_ms\":%d}]}"
-                        .formatted(job.runMillis(), job.tasks(), SoakSite.TASK_MILLICORES, job.runMillis());
+        String body = HostUnderTest.jobBody(job.tasks(), SoakSite.TASK_MILLICORES, job.runMillis());
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost("127.0.0.1")
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
@@ -1,12 +1,12 @@
 package org.banyanspoke.host.soak;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
 import org.banyanspoke.host.standins.LeasedServer;
 import org.banyanspoke.host.standins.RunLedger;
@@ -41,7 +41,7 @@
     }
 
     void start(int hostCount, int serverCount) throws Exception {
-        await(store.start());
+        Eventually.done(store.start());
         changeConfiguration();
         for (int i = 0; i < serverCount; i++) {
             addServer(i);
@@ -53,9 +53,9 @@
 
     private void addServer(int index) throws Exception {
         LeasedServer standin = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, LEASE_MILLIS);
-        await(standin.start());
+        Eventually.done(standin.start());
         Link link = new Link(vertx, standin.port());
-        await(link.start());
+        Eventually.done(link.start());
         Server server = new Server("i-" + index, ZONES.get(index % ZONES.size()), standin, link);
         servers.add(server);
         register(server);
@@ -65,8 +65,8 @@
         HostUnderTest process = new HostUnderTest("host-" + index, folder);
         Link callers = new Link(vertx, process.callerPort());
         Link toStore = new Link(vertx, store.port());
-        await(callers.start());
-        await(toStore.start());
+        Eventually.done(callers.start());
+        Eventually.done(toStore.start());
         double processors = PROCESSORS[index / ZONES.size() % PROCESSORS.length];
         Host host = new Host(process, ZONES.get(index % ZONES.size()), processors, callers, toStore);
         hosts.add(host);
@@ -91,10 +91,6 @@
         store.putConfiguration(configurationVersion, 1.5 + configurationVersion % 3 * 0.1);
     }
 
-    private static void await(Future<?> future) throws Exception {
-        future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-    }
-
     List<Host> hosts() {
         return hosts;
     }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/Eventually.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/Eventually.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import java.util.concurrent.TimeUnit;
 
 /** Waits for what processes do in their own time. */
@@ -17,6 +18,11 @@
 
     private Eventually() {}
 
+    /** Waits until something that was begun in this process has ended well. */
+    public static void done(Future<?> future) throws Exception {
+        future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
     /**
      * Waits until a condition holds; fails if it does not in time.
      *
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -138,15 +138,18 @@
                 .waitFor(5, TimeUnit.SECONDS);
     }
 
+    /** Returns what a caller sends for a job whose tasks run for a time each. */
+    public static String jobBody(int tasks, int cpuMillicores, long runMillis) {
+        return "{\"spec\":\"%d\",\"best_effort\":true,\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":64,\"est_runtime_ms\":%d}]}"
+                .formatted(runMillis, tasks, cpuMillicores, runMillis);
+    }
+
     /** Sends a job whose tasks run for a time each. */
     public CompletableFuture<HttpResponse<String>> submit(String job, int tasks, int cpuMillicores, long runMillis) {
-        String body =
-                "{\"spec\":\"%d\",\"best_effort\":true,\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":64,\"est_runtime_ms\":%d}]}"
-                        .formatted(runMillis, tasks, cpuMillicores, runMillis);
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + "/q/" + job))
                 .timeout(Duration.ofSeconds(20))
                 .header("X-Banyanspoke-Deadline-Ms", "3000")
-                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .POST(HttpRequest.BodyPublishers.ofString(jobBody(tasks, cpuMillicores, runMillis)))
                 .build();
         return http.sendAsync(request, BodyHandlers.ofString());
     }
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/AcceptedConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.functions.Consumer;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.banyanspoke.peer.FrameFilter;
@@ -99,12 +100,16 @@
             reply(context, frame, failure("no handler for " + frame.getBodyCase()));
             return;
         }
-        // A container removes what has ended, so it holds open requests only.
-        var unused = Single.defer(() -> handler.handle(peer, frame))
-                .subscribe(
-                        answer -> context.executor().execute(() -> reply(context, frame, answer)),
-                        e -> context.executor().execute(() -> reply(context, frame, failure(String.valueOf(e)))),
-                        handler.endsWithConnection() ? endingWithConnection : new CompositeDisposable());
+        Single<Frame.Builder> work = Single.defer(() -> handler.handle(peer, frame));
+        Consumer<Frame.Builder> onReply = answer -> context.executor().execute(() -> reply(context, frame, answer));
+        Consumer<Throwable> onError =
+                e -> context.executor().execute(() -> reply(context, frame, failure(String.valueOf(e))));
+        if (handler.endsWithConnection()) {
+            // The container removes what has ended, so it holds open requests only.
+            var unused = work.subscribe(onReply, onError, endingWithConnection);
+        } else {
+            var unused = work.subscribe(onReply, onError);
+        }
     }
 
     private void reply(ChannelHandlerContext context, Frame request, Frame.Builder answer) {
