A port that closes answers what it has read

A request in progress while the port closes shows it: 'EOF reached while reading' before, 200 after (HttpServiceTest). The port now takes no connection first, answers what it has read, and closes then. Ruled out: a stop that fails (exit codes were 0).

--- a/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
+++ b/banyanspoke-daemon/src/main/java/org/banyanspoke/daemon/http/HttpService.java
@@ -92,7 +92,10 @@
 
     @Override
     public void stop() throws Exception {
-        vertx.undeploy(deploymentId).toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        vertx.undeploy(deploymentId)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TIMEOUT_SECONDS + TimeUnit.MILLISECONDS.toSeconds(ANSWERS_TIMEOUT_MILLIS), TimeUnit.SECONDS);
     }
 
     /** Waits until every request has its complete response, at most {@value #ANSWERS_TIMEOUT_MILLIS} ms. */
@@ -110,6 +113,8 @@
 
     /** One server on one event loop; all of them share the port. */
     private final class Listener extends AbstractVerticle {
+        private HttpServer server;
+
         @Override
         public void start(Promise<Void> started) {
             Router router = Router.router(vertx);
@@ -128,7 +133,7 @@
             long sweepMillis = Math.max(
                     1, Math.min(options.headTimeoutMillis(), options.idleTimeoutMillis()) / SWEEPS_PER_TIMEOUT);
             vertx.setPeriodic(sweepMillis, unused -> connections.closeOverdue());
-            HttpServer server = vertx.createHttpServer(serverOptions)
+            server = vertx.createHttpServer(serverOptions)
                     .connectionHandler(connections::onOpened)
                     .requestHandler(router);
             server.listen()
@@ -139,6 +144,12 @@
                     .onComplete(started);
         }
 
+        /** Takes no further connection; requests that have been read get their responses before their connections close. */
+        @Override
+        public void stop(Promise<Void> stopped) {
+            server.shutdown(ANSWERS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).onComplete(stopped);
+        }
+
         private static void watch(IdleConnections connections, RoutingContext context) {
             HttpConnection connection = context.request().connection();
             connections.onRequest(connection);
