--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -106,6 +106,13 @@
         return pool.idle();
     }
 
+    /** Returns the entry hosts that wait for jobs that are here. */
+    Set<HostId> waitingHosts() {
+        Set<HostId> all = new HashSet<>();
+        waitingHosts.values().forEach(all::addAll);
+        return all;
+    }
+
     /** Follows the election and the registry. */
     void review(Collection<HostState> heard) {
         if (leaving) {
