Runs on a server that has started again are over only when their stops are answered

The server was restarted under its id (fault SERVER_RESTARTED at 14.38 s) as the start of run 1 was on its way (job sent at 14.40 s); the start ran in the new life, whose token was 0. 265 ms later the dispatcher heard of the new life and took all runs there as lost, so run 2 began elsewhere. Ruled out: another dispatcher (all other hosts were down), an order carried out late (server 0 was not in that mode), the new rules of exchange (one host alone). ServerPoolTest.mayRunWhatWasOrderedBeforeItsNewLifeWasKnown fails before ('two runs, the other since 254 ms'), passes after: such runs are stopped with the new token, and repeated once the server lists them no more.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -407,18 +407,19 @@
         }
     }
 
-    /** The server has started again under the same id: nothing of before is there, and it has seen no token. */
+    /**
+     * The server has started again under the same id: nothing of before is there, and it has seen no token. A start that reached it
+     * before this host knew may run there, so each run is over only when its stop is answered.
+     */
     private void onNewLife(long newBornMillis) {
         bornMillis = newBornMillis;
         acknowledged = 0;
         highestEnd = 0;
         strangers.clear();
-        for (Run run : List.copyOf(runs.values())) {
-            over(run, EndKind.LAPSED);
-        }
         listener.changed(this, "claiming", "has started again");
         // Orders of the old life that arrive late must not be obeyed, so the new life gets a higher token.
         listener.reborn(this);
+        runs().forEach(this::stop);
     }
 
     private void leaseEnded(String reason) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -195,6 +195,23 @@
             assertThat(server.token).isGreaterThan(before);
             assertThat(pool.load().freeMillicores()).isEqualTo(16_000);
         }
+
+        /**
+         * Guards against a task that runs twice: a start that reaches the server's new life before this host knows of it runs
+         * there, although nothing of the old life is left. Soak seed 1 found it.
+         */
+        @Test
+        void mayRunWhatWasOrderedBeforeItsNewLifeWasKnown() {
+            own(2);
+            Server server = world.servers.values().iterator().next();
+            world.runMillis = run -> 900;
+            server.restart();
+            CallerJobId id = jobs.submit(SimulatedJobs.LONG, 4, 900);
+            world.run(pool, 4_000);
+            assertThat(world.violations).isEmpty();
+            assertThat(jobs.kind(id)).isEqualTo(Kind.COMPLETED);
+            assertThat(pool.load().freeMillicores()).isEqualTo(32_000);
+        }
     }
 
     @Nested
