--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.internal.VertxInternal;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
@@ -92,7 +93,11 @@
         this.settings = settings;
         this.watch = watch;
         this.transport = new PeerTransport(
-                settings.host(), new Incarnation(new SecureRandom().nextLong()), PEER_LIMITS, FrameFilter.NONE);
+                settings.host(),
+                new Incarnation(new SecureRandom().nextLong()),
+                PEER_LIMITS,
+                FrameFilter.NONE,
+                ((VertxInternal) vertx).nettyEventLoopGroup());
         this.store = new StoreClient(vertx, () -> watch.current().storeAddress());
         this.directory = new HostDirectory(settings.host());
         FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -57,12 +57,30 @@
      * @param filter decides which frames pass; {@link FrameFilter#NONE} outside tests
      */
     public PeerTransport(HostId host, Incarnation incarnation, TransportLimits limits, FrameFilter filter) {
+        this(
+                host,
+                incarnation,
+                limits,
+                filter,
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory()));
+    }
+
+    /**
+     * A transport on an event loop that does other work too, which spares the hops between two threads.
+     *
+     * @param eventLoop one thread; {@link #stop} ends it
+     */
+    public PeerTransport(
+            HostId host,
+            Incarnation incarnation,
+            TransportLimits limits,
+            FrameFilter filter,
+            EventLoopGroup eventLoop) {
         this.host = host;
         this.incarnation = incarnation;
         this.limits = limits;
         this.filter = filter;
-        this.eventLoop =
-                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+        this.eventLoop = eventLoop;
     }
 
     /** Sets the handler of a message type. Requests without handler are answered with a failure. */
