A lost dispatcher is forgotten also by hosts to which it matters by turns

The time at which a host counts as silent is never moved back now unless it is heard. HostContactsTest.forgetsALostDispatcherAlsoWhenItsOwnZoneIsTightByTurns fails before, passes after.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostContacts.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostContacts.java
@@ -50,8 +50,23 @@
     private static final class Contact {
         private HostState state;
         private long heardMillis;
+        private long silentFromMillis;
         private Need need = Need.CLOSE;
-        private long needSinceMillis;
+
+        private void heard(long nowMillis) {
+            heardMillis = nowMillis;
+            silentFromMillis = nowMillis + need.silenceMillis;
+        }
+
+        /** A closer need leaves time for an exchange, as longer silences were allowed before, but never more than before. */
+        private void review(Need newNeed, long nowMillis) {
+            if (newNeed.compareTo(need) < 0) {
+                silentFromMillis = Math.min(silentFromMillis, nowMillis + newNeed.silenceMillis);
+            } else if (newNeed != need) {
+                silentFromMillis = heardMillis + newNeed.silenceMillis;
+            }
+            need = newNeed;
+        }
     }
 
     /**
@@ -67,7 +82,7 @@
         Contact known = contacts.get(state.host());
         Contact contact = known == null ? new Contact() : known;
         contact.state = state;
-        contact.heardMillis = clock.millis();
+        contact.heard(clock.millis());
         contacts.put(state.host(), contact);
         return known == null;
     }
@@ -99,10 +114,8 @@
         contacts.forEach((host, contact) -> {
             boolean hasJobsHere = withJobsHere.contains(host);
             Need need = hasJobsHere ? Need.CLOSE : need(contact.state, own, closeToDispatchers, leaderless);
-            review(contact, need, nowMillis);
-            // Before the need became closer, longer silences were allowed.
-            long sinceMillis = Math.max(contact.heardMillis, contact.needSinceMillis);
-            if (nowMillis - sinceMillis > contact.need.silenceMillis) {
+            contact.review(need, nowMillis);
+            if (nowMillis > contact.silentFromMillis) {
                 silent.put(host, nowMillis - contact.heardMillis);
             }
         });
@@ -110,13 +123,6 @@
         return silent;
     }
 
-    private static void review(Contact contact, Need need, long nowMillis) {
-        if (need.compareTo(contact.need) < 0) {
-            contact.needSinceMillis = nowMillis;
-        }
-        contact.need = need;
-    }
-
     /** Returns whether it is time to exchange states with a host. One exchange serves both sides. */
     public boolean isDue(HostId host) {
         Contact contact = contacts.get(host);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostContactsTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostContactsTest.java
@@ -101,6 +101,16 @@
             assertThat(contacts.hears(FAR_DISPATCHER)).isFalse();
         }
 
+        /** Guards against a lost dispatcher that is never noticed, because it matters by turns more and less. */
+        @Test
+        void forgetsALostDispatcherAlsoWhenItsOwnZoneIsTightByTurns() {
+            for (int i = 0; i < 4; i++) {
+                pass(350, TIGHT);
+                pass(350, ROOMY);
+            }
+            assertThat(contacts.hears(FAR_DISPATCHER)).isFalse();
+        }
+
         /** Guards against a zone that waits for a successor which was lost together with the dispatcher. */
         @Test
         void findsOutSoonWhichHostsCanFollowALostDispatcher() {
