--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
@@ -34,4 +34,17 @@
     public String hardwareKind() {
         return labels.isEmpty() ? "" : labels.get(0);
     }
+
+    /** Returns whether this server, when idle, has the capacity and the label that a task requires. */
+    public boolean canRun(TaskRequirements requirements) {
+        return requirements.cpuMillicores() <= cpuMillicores
+                && requirements.memoryMegabytes() <= memoryMegabytes
+                && requirements.gpus() <= gpus
+                && hasLabel(requirements.label());
+    }
+
+    /** Returns whether this server has a label; true if the label is empty. */
+    public boolean hasLabel(String label) {
+        return label.isEmpty() || labels.contains(label);
+    }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -21,6 +21,7 @@
 import org.banyanspoke.core.pool.ServerCommands.EndKind;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.core.time.MonotonicClock;
 
 /** Default {@link ServerPool}: admits jobs, dispatches their tasks to servers and retries failed tasks. */
@@ -154,20 +155,21 @@
 
     /** Returns the estimated wait until the last task of a job starts. */
     private long expectedWaitMillis(JobProgress progress, long nowMillis) {
+        TaskRequirements requirements = progress.requirements();
+        String service = progress.job().queuePolicy().service();
         long capacity = 0;
         long free = 0;
+        boolean runnable = false;
         for (OwnedServer server : servers.values()) {
             if (server.isUsable()
-                    && server.descriptor().cpuMillicores()
-                            >= progress.requirements().cpuMillicores()
-                    && server.descriptor()
-                            .service()
-                            .equals(progress.job().queuePolicy().service())) {
+                    && server.descriptor().cpuMillicores() >= requirements.cpuMillicores()
+                    && server.descriptor().service().equals(service)) {
                 capacity += server.descriptor().cpuMillicores();
                 free += server.freeCpu();
+                runnable |= server.descriptor().canRun(requirements);
             }
         }
-        if (capacity == 0) {
+        if (!runnable) {
             return JobProgress.NO_SERVER;
         }
         double workAhead = 0;
@@ -177,7 +179,7 @@
             }
         }
         double ownWork = pendingWork(progress) / 2;
-        double freeWork = (double) free * progress.requirements().estimateMillis();
+        double freeWork = (double) free * requirements.estimateMillis();
         return (long) (Math.max(0, workAhead + ownWork - freeWork) / capacity);
     }
 
@@ -308,17 +310,24 @@
             return;
         }
         dispatching = true;
-        do {
-            dispatchAgain = false;
-            if (queue.isEmpty()) {
-                continue;
-            }
-            ServerSelector.Candidates candidates = selector.candidates(servers.values(), queue.minCpuMillicores());
-            if (!candidates.available().isEmpty()) {
-                startPendingTasks(candidates, clock.millis());
-            }
-        } while (dispatchAgain);
-        dispatching = false;
+        try {
+            do {
+                dispatchAgain = false;
+                dispatchOnce();
+            } while (dispatchAgain);
+        } finally {
+            dispatching = false;
+        }
+    }
+
+    private void dispatchOnce() {
+        if (queue.isEmpty()) {
+            return;
+        }
+        ServerSelector.Candidates candidates = selector.candidates(servers.values(), queue.minCpuMillicores());
+        if (!candidates.available().isEmpty()) {
+            startPendingTasks(candidates, clock.millis());
+        }
     }
 
     private void startPendingTasks(ServerSelector.Candidates candidates, long nowMillis) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -16,6 +16,7 @@
 import org.banyanspoke.core.pool.ServerCommands.RunProgress;
 import org.banyanspoke.core.pool.ServerCommands.Status;
 import org.banyanspoke.core.pool.ServerDescriptor;
+import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.core.time.MonotonicClock;
 
 /**
@@ -137,10 +138,11 @@
         return state == State.USABLE && !descriptor.draining() && orphanRuns.isEmpty() && !closed;
     }
 
-    boolean fits(int cpu, int memory, int gpus) {
-        return usedCpu + cpu <= descriptor.cpuMillicores()
-                && usedMemory + memory <= descriptor.memoryMegabytes()
-                && usedGpus + gpus <= descriptor.gpus();
+    /** Returns whether a task fits into the free capacity. Compares differences, because sums may overflow. */
+    boolean fits(TaskRequirements requirements) {
+        return requirements.cpuMillicores() <= descriptor.cpuMillicores() - usedCpu
+                && requirements.memoryMegabytes() <= descriptor.memoryMegabytes() - usedMemory
+                && requirements.gpus() <= descriptor.gpus() - usedGpus;
     }
 
     /** Replaces the descriptor. A later start time means that the server restarted and lost its state. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
@@ -124,9 +124,9 @@
         TaskRequirements requirements = job.requirements();
         ServerDescriptor descriptor = server.descriptor();
         return descriptor.service().equals(job.job().queuePolicy().service())
-                && server.fits(requirements.cpuMillicores(), requirements.memoryMegabytes(), requirements.gpus())
+                && server.fits(requirements)
                 && server.circuitBreaker().allows(nowMillis, server.runCount())
-                && (requirements.label().isEmpty() || descriptor.labels().contains(requirements.label()))
+                && descriptor.hasLabel(requirements.label())
                 && (requirements.maxPerServer() == 0 || job.runsOn(server) < requirements.maxPerServer())
                 && !job.nextTaskFailedOn(descriptor.id());
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.core.pool;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -123,6 +124,67 @@
         }
     }
 
+    @Nested
+    class JobsThatNoServerCanRun {
+        private CallerJobId submit(TaskRequirements requirements) {
+            CallerJobId id = new CallerJobId("00000000000000aa");
+            pool.submit(
+                    new PooledJob(id, SimulatedJobs.URGENT, "work", 1, requirements, 0, 1_500),
+                    outcome -> outcomes.add(outcome.kind()));
+            return id;
+        }
+
+        private final List<Kind> outcomes = new ArrayList<>();
+
+        /** Such a job held its caller until shortly before the deadline. */
+        @Test
+        void areRefusedImmediatelyForLackOfMemory() {
+            addServers(2);
+            submit(new TaskRequirements(1_000, 32_001, 0, 100, "", "", 0));
+            assertThat(outcomes).containsExactly(Kind.REFUSED);
+        }
+
+        @Test
+        void areRefusedImmediatelyForLackOfGpus() {
+            addServers(2);
+            submit(new TaskRequirements(1_000, 100, 1, 100, "", "", 0));
+            assertThat(outcomes).containsExactly(Kind.REFUSED);
+        }
+
+        @Test
+        void areRefusedImmediatelyForLackOfTheirLabel() {
+            addServers(2);
+            submit(new TaskRequirements(1_000, 100, 0, 100, "no-such-label", "", 0));
+            assertThat(outcomes).containsExactly(Kind.REFUSED);
+        }
+
+        /** The sum of used and required memory overflowed, and the task was started beyond the server's capacity. */
+        @Test
+        void areNotStartedBecauseTheirRequirementOverflows() {
+            addServers(1);
+            jobs.submit(SimulatedJobs.LONG, 1, 900);
+            simulation.run(pool, 20);
+            submit(new TaskRequirements(1_000, Integer.MAX_VALUE, 0, 100, "", "", 0));
+            simulation.run(pool, 20);
+            assertThat(simulation.starts()).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class AnUnexpectedErrorInACommand {
+        /** The pool stayed marked as dispatching and never started a task again. */
+        @Test
+        void doesNotEndDispatching() {
+            addServers(2);
+            simulation.failNextStart = true;
+            assertThatThrownBy(() -> jobs.submit(SimulatedJobs.URGENT, 1, 100))
+                    .isInstanceOf(IllegalStateException.class);
+            CallerJobId next = jobs.submit(SimulatedJobs.URGENT, 1, 100);
+            simulation.run(pool, 400);
+            assertThat(jobs.kind(next)).isEqualTo(Kind.COMPLETED);
+        }
+    }
+
     @Nested
     class CommandsWithoutReply {
         @Test
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -38,6 +38,9 @@
     final List<String> violations = new ArrayList<>();
     final Map<ServerId, Server> servers = new LinkedHashMap<>();
     ToLongFunction<RunKey> runMillis = run -> 100;
+    /** Whether the next start command fails with an unchecked exception. */
+    boolean failNextStart;
+
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
     private long nowMillis = 1_000_000;
@@ -186,6 +189,10 @@
 
     @Override
     public void start(ServerDescriptor descriptor, StartCommand command, Consumer<Reply> onReply) {
+        if (failNextStart) {
+            failNextStart = false;
+            throw new IllegalStateException("simulated error in a start command");
+        }
         Server server = servers.get(descriptor.id());
         if (!server.reachable) {
             after(command.timeoutMillis(), () -> onReply.accept(new Reply(Status.UNKNOWN, 0)));
