--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/net/package-info.java
@@ -0,0 +1,2 @@
+/** Network addresses. */
+package org.banyanspoke.core.net;
