--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -138,13 +139,24 @@
                     .setReply(false)
                     .build();
             try {
-                eventLoop.execute(() -> getOrOpen(address).send(frame, timeoutMillis, emitter));
+                eventLoop.execute(() -> send(address, frame, timeoutMillis, emitter));
             } catch (RejectedExecutionException e) {
                 emitter.tryOnError(new PeerException(address + ": transport stopped", false, e));
             }
         });
     }
 
+    private void send(String address, Frame frame, long timeoutMillis, SingleEmitter<PeerReply> emitter) {
+        OutboundConnection connection;
+        try {
+            connection = getOrOpen(address);
+        } catch (IllegalArgumentException e) {
+            emitter.tryOnError(new PeerException(e.getMessage(), false, e));
+            return;
+        }
+        connection.send(frame, timeoutMillis, emitter);
+    }
+
     /** Closes all connections and shuts down the event loop. Pending requests fail. */
     public void stop() throws InterruptedException {
         if (listener != null) {
@@ -186,6 +198,7 @@
     }
 
     private OutboundConnection open(String address) {
+        InetSocketAddress target = parse(address);
         OutboundConnection connection =
                 new OutboundConnection(address, self, limits, filter, closed -> connections.remove(address, closed));
         connections.put(address, connection);
@@ -200,7 +213,7 @@
                         FramePipeline.init(channel, limits, counter, connection);
                     }
                 });
-        connection.open(bootstrap, parse(address), eventLoop);
+        connection.open(bootstrap, target, eventLoop);
         return connection;
     }
 
@@ -210,6 +223,13 @@
 
     private static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        if (colon < 0) {
+            throw new IllegalArgumentException("peer address \"" + address + "\" has no port");
+        }
+        try {
+            return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("peer address \"" + address + "\" has an invalid port", e);
+        }
     }
 }
--- a/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
+++ b/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
@@ -62,6 +62,17 @@
         return transport;
     }
 
+    /** Such a request never ended, and neither did the job that it carried. */
+    @Test
+    void requestsToAnInvalidAddressFailAtOnce() {
+        for (String address : new String[] {"somewhere", "10.0.0.1:99999", "10.0.0.1:", ":", "10.0.0.1:x"}) {
+            var reply = client.request(address, forward("j", 1), 5_000).test();
+            reply.awaitDone(1, TimeUnit.SECONDS)
+                    .assertError(error -> error instanceof PeerException failure && !failure.mayHaveArrived());
+        }
+        assertThat(client.openConnections()).isZero();
+    }
+
     private static Frame.Builder forward(String jobId, int bodyBytes) {
         return Frame.newBuilder()
                 .setJobForward(
