--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -3,15 +3,26 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.core.net.IpEndpoint;
+import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.platform.StoreClient;
+import org.jboss.logging.Logger;
 
 /** Peer addresses of the other entry hosts, taken from their records in the store and from their state messages. */
 final class HostDirectory implements TopicFollower.Listener {
+    /** Bounds the memory for the keys of invalid records. */
+    private static final int MAX_LOGGED_KEYS = 1_000;
+
+    private static final EventLog LOG = EventLog.of(HostDirectory.class);
+
     private final HostId self;
     private final Map<HostId, String> addresses = new HashMap<>();
+    private final Set<String> loggedKeys = new HashSet<>();
 
     HostDirectory(HostId self) {
         this.self = self;
@@ -30,19 +41,44 @@
     @Override
     public void onChanges(List<StoreClient.Entry> entries) {
         for (StoreClient.Entry entry : entries) {
-            HostId host = new HostId(entry.key());
-            if (entry.value().length == 0) {
-                addresses.remove(host);
-            } else if (!host.equals(self)) {
-                addresses.put(host, new String(entry.value(), StandardCharsets.UTF_8));
+            try {
+                apply(entry);
+            } catch (IllegalArgumentException e) {
+                logInvalid(entry.key(), e.getMessage());
             }
         }
     }
 
-    /** Records the address from a state message, which may arrive before the host's record has been read. */
+    private void apply(StoreClient.Entry entry) {
+        HostId host = new HostId(entry.key());
+        if (entry.value().length == 0) {
+            addresses.remove(host);
+        } else {
+            recordAddress(host, new String(entry.value(), StandardCharsets.UTF_8));
+        }
+    }
+
+    private void logInvalid(String key, String reason) {
+        if (loggedKeys.size() < MAX_LOGGED_KEYS && loggedKeys.add(key)) {
+            LOG.event(Logger.Level.WARN, "invalid entry host record ignored")
+                    .with("key", key)
+                    .with("reason", reason)
+                    .write();
+        }
+    }
+
+    /**
+     * Records the address from a state message, which may arrive before the host's record has been read. An invalid
+     * address changes nothing.
+     */
     void recordAddress(HostId host, String address) {
-        if (!host.equals(self)) {
+        if (host.equals(self)) {
+            return;
+        }
+        if (IpEndpoint.tryParse(address).isPresent()) {
             addresses.put(host, address);
+        } else {
+            logInvalid(host.value(), "address \"" + address + "\" is not ip:port");
         }
     }
 
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.host;
 
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -7,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostFailureDetector;
@@ -64,6 +66,7 @@
     private final SettingsWatch settingsWatch;
     private final int metricsPort;
     private final MonotonicClock clock = System::nanoTime;
+    private final ErrorGuard guard = new ErrorGuard(clock);
     private final Vertx vertx = Vertx.vertx(new VertxOptions()
             .setEventLoopPoolSize(1)
             .setWorkerPoolSize(1)
@@ -108,9 +111,16 @@
                 clock,
                 new CompositePoolListener(List.of(new PoolEventLog(requestLog), metrics)));
         this.dispatcher = new ZoneDispatcher(
-                settings.host(), settings.zone(), settings.processorMillicores(), pool, tokens, registry, clock);
+                settings.host(),
+                settings.zone(),
+                settings.processorMillicores(),
+                pool,
+                tokens,
+                registry,
+                clock,
+                System::currentTimeMillis);
         HostFailureDetector contacts = new HostFailureDetector(clock, dispatcher::waitingHosts);
-        this.exchange = new HostStateExchange(transport, context, directory, contacts, dispatcher::state);
+        this.exchange = new HostStateExchange(transport, context, directory, contacts, dispatcher::state, guard);
         this.jobs = new JobForwarder(
                 settings.host(),
                 transport,
@@ -127,6 +137,10 @@
 
     /** Starts all components; returns before the first configuration has been read. */
     void start() throws IOException, InterruptedException {
+        // Errors that no subscriber can receive any more end nothing but the work that raised them.
+        RxJavaPlugins.setErrorHandler(
+                error -> context.runOnContext(unused -> guard.recordError("reactive stream", error)));
+        vertx.exceptionHandler(error -> context.runOnContext(unused -> guard.recordError("event handler", error)));
         transport.start(settings.peerAddress());
         context.runOnContext(unused -> startOnContext());
     }
@@ -140,13 +154,17 @@
                     LOG.event(Logger.Level.FATAL, "cannot listen").cause(e).write();
                     Runtime.getRuntime().halt(Main.EXIT_START_FAILED);
                 });
-        new TopicFollower(vertx, store, SiteTopics.OPERATORS, CONFIG_POLL_WAIT_MILLIS, () -> 0, config).readNext();
-        new TopicFollower(vertx, store, SiteTopics.SERVERS, 0, this::serversPollMillis, registry).readNext();
-        new TopicFollower(vertx, store, SiteTopics.HOSTS, 0, () -> HOSTS_POLL_MILLIS, directory).readNext();
+        follow(SiteTopics.OPERATORS, CONFIG_POLL_WAIT_MILLIS, () -> 0, config);
+        follow(SiteTopics.SERVERS, 0, this::serversPollMillis, registry);
+        follow(SiteTopics.HOSTS, 0, () -> HOSTS_POLL_MILLIS, directory);
         register();
         serveMetrics();
         scheduleTick();
-        vertx.setPeriodic(SETTINGS_RELOAD_MILLIS, unused -> settingsWatch.reload());
+        vertx.setPeriodic(SETTINGS_RELOAD_MILLIS, unused -> guard.run("reload settings", settingsWatch::reload));
+    }
+
+    private void follow(String topic, long waitMillis, LongSupplier pauseMillis, TopicFollower.Listener listener) {
+        new TopicFollower(vertx, store, topic, waitMillis, pauseMillis, listener, guard).readNext();
     }
 
     private void serveMetrics() {
@@ -201,22 +219,27 @@
     }
 
     private void tick() {
-        exchange.tick();
-        if (registeredMillis != Long.MAX_VALUE && clock.millis() - registeredMillis >= CLAIM_DELAY_MILLIS) {
-            boolean wasDispatching = dispatcher.dispatching();
-            dispatcher.reconcile(exchange.liveStates());
-            if (wasDispatching != dispatcher.dispatching()) {
-                metrics.dispatchingChanged();
-                exchange.broadcast();
-            }
-        }
-        dispatcher.tick(exchange::isAlive);
-        jobs.tick();
+        guard.run("exchange states", exchange::tick);
+        guard.run("elect dispatcher", this::reconcile);
+        guard.run("dispatch", () -> dispatcher.tick(exchange::isAlive));
+        guard.run("place jobs", jobs::tick);
         if (stopRequestedMillis >= 0) {
             stopIfDone();
         }
     }
 
+    private void reconcile() {
+        if (registeredMillis == Long.MAX_VALUE || clock.millis() - registeredMillis < CLAIM_DELAY_MILLIS) {
+            return;
+        }
+        boolean wasDispatching = dispatcher.dispatching();
+        dispatcher.reconcile(exchange.liveStates());
+        if (wasDispatching != dispatcher.dispatching()) {
+            metrics.dispatchingChanged();
+            exchange.broadcast();
+        }
+    }
+
     /** Reloads the settings. */
     void reload() {
         context.runOnContext(unused -> settingsWatch.reload());
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostStateExchange.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostStateExchange.java
@@ -1,6 +1,5 @@
 package org.banyanspoke.host;
 
-import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Context;
 import java.util.Collection;
 import java.util.Map;
@@ -24,25 +23,26 @@
     private final HostDirectory directory;
     private final HostFailureDetector contacts;
     private final Supplier<HostState> ownState;
+    private final ErrorGuard guard;
 
     HostStateExchange(
             PeerTransport transport,
             Context context,
             HostDirectory directory,
             HostFailureDetector contacts,
-            Supplier<HostState> ownState) {
+            Supplier<HostState> ownState,
+            ErrorGuard guard) {
         this.transport = transport;
         this.context = context;
         this.directory = directory;
         this.contacts = contacts;
         this.ownState = ownState;
-        transport.handle(
-                Frame.BodyCase.HOST_STATE,
-                (from, request) -> Single.create(emitter -> context.runOnContext(unused -> {
-                    directory.recordAddress(from.host(), from.address());
-                    onState(PoolMessages.decode(request.getHostState()));
-                    emitter.onSuccess(Frame.newBuilder().setHostState(PoolMessages.encode(ownState.get())));
-                })));
+        this.guard = guard;
+        transport.handle(Frame.BodyCase.HOST_STATE, ContextHandlers.runOn(context, (from, request) -> {
+            directory.recordAddress(from.host(), from.address());
+            onState(PoolMessages.decode(request.getHostState()));
+            return Frame.newBuilder().setHostState(PoolMessages.encode(ownState.get()));
+        }));
     }
 
     /** Returns the latest states of the hosts heard from recently. */
@@ -79,7 +79,7 @@
         var unused = transport
                 .request(address, request, REQUEST_TIMEOUT_MILLIS)
                 .subscribe(
-                        reply -> context.runOnContext(none -> onReply(reply)),
+                        reply -> context.runOnContext(none -> guard.run("state of a host", () -> onReply(reply))),
                         error -> context.runOnContext(none -> onFailure(host, error)));
     }
 
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -77,7 +77,7 @@
         this.observer = observer;
         this.clock = clock;
         transport.handle(Frame.BodyCase.POOL_JOB, PeerHandler.cancelledOnDisconnect(this::onPeerJob));
-        transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, this::onPeerCancel);
+        transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, ContextHandlers.runOn(context, this::onPeerCancel));
     }
 
     /** Reports this host as not ready from now on, so that new connections go to other hosts. */
@@ -184,11 +184,19 @@
         var unused = transport
                 .request(directory.address(to), request, remainingMillis + REPLY_MARGIN_MILLIS)
                 .subscribe(
-                        reply -> context.runOnContext(none ->
-                                ended.accept(PoolMessages.decode(reply.frame().getPoolJobReply()))),
+                        reply -> context.runOnContext(none -> ended.accept(outcome(to, reply.frame()))),
                         error -> context.runOnContext(none -> ended.accept(failureOutcome(to, error))));
     }
 
+    /** An invalid reply does not tell what became of the job, so the job counts as one that may have run. */
+    private static JobOutcome outcome(HostId dispatcher, Frame reply) {
+        try {
+            return PoolMessages.decodeOutcome(reply);
+        } catch (IllegalArgumentException e) {
+            return JobOutcome.abandoned("invalid reply of dispatcher " + dispatcher + ": " + e.getMessage());
+        }
+    }
+
     private static JobOutcome failureOutcome(HostId dispatcher, Throwable error) {
         boolean mayHaveArrived = !(error instanceof PeerException failure) || failure.mayHaveArrived();
         String reason = "dispatcher " + dispatcher + " failed: " + error.getMessage();
@@ -246,11 +254,9 @@
                 }));
     }
 
-    private Single<Frame.Builder> onPeerCancel(PeerIdentity from, Frame request) {
-        return Single.create(emitter -> context.runOnContext(unused -> {
-            PoolJobCancel cancel = request.getPoolJobCancel();
-            dispatcher.cancel(from.host(), new CallerJobId(cancel.getJob()), cancel.getReason());
-            emitter.onSuccess(Frame.newBuilder().setPoolJobCancel(cancel));
-        }));
+    private Frame.Builder onPeerCancel(PeerIdentity from, Frame request) {
+        PoolJobCancel cancel = request.getPoolJobCancel();
+        dispatcher.cancel(from.host(), new CallerJobId(cancel.getJob()), cancel.getReason());
+        return Frame.newBuilder().setPoolJobCancel(cancel);
     }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -12,6 +12,7 @@
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.QueuePolicy;
 import org.banyanspoke.core.pool.TaskRequirements;
+import org.banyanspoke.peer.generated.Frame;
 import org.banyanspoke.peer.generated.HostStateMessage;
 import org.banyanspoke.peer.generated.PoolJobReply;
 import org.banyanspoke.peer.generated.PoolJobRequest;
@@ -114,6 +115,19 @@
                 .build();
     }
 
+    /**
+     * Decodes the reply to a job.
+     *
+     * @throws IllegalArgumentException if the frame has another type or an unknown outcome
+     */
+    static JobOutcome decodeOutcome(Frame reply) {
+        if (reply.getBodyCase() != Frame.BodyCase.POOL_JOB_REPLY) {
+            // Without this check, the defaults of an absent message would stand for a completed job.
+            throw new IllegalArgumentException("reply of type " + reply.getBodyCase());
+        }
+        return decode(reply.getPoolJobReply());
+    }
+
     static JobOutcome decode(PoolJobReply message) {
         return new JobOutcome(
                 JobOutcome.Kind.valueOf(message.getOutcome().name()),
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
@@ -26,6 +26,9 @@
     /** Live servers register again within 2 s of the end of an outage. */
     private static final long REMOVAL_GRACE_MILLIS = 2_500;
 
+    /** Bounds the memory for the keys of invalid entries. */
+    private static final int MAX_LOGGED_KEYS = 1_000;
+
     private static final EventLog LOG = EventLog.of(ServerRegistry.class);
 
     private final MonotonicClock clock;
@@ -80,16 +83,25 @@
             missingSinceMillis.remove(id);
             return Optional.of(id);
         } catch (PlatformException e) {
-            if (invalidKeys.add(entry.key())) {
-                LOG.event(Logger.Level.WARN, "invalid backend server entry in the registry ignored")
-                        .with("key", entry.key())
-                        .with("reason", e.getMessage())
-                        .write();
-            }
+            onInvalid(entry, e);
             return Optional.empty();
         }
     }
 
+    /** An invalid entry names no server to use, so a server with this key counts as removed. */
+    private void onInvalid(StoreClient.Entry entry, PlatformException error) {
+        if (invalidKeys.size() < MAX_LOGGED_KEYS && invalidKeys.add(entry.key())) {
+            LOG.event(Logger.Level.WARN, "invalid backend server entry in the registry ignored")
+                    .with("key", entry.key())
+                    .with("reason", error.getMessage())
+                    .write();
+        }
+        servers.keySet().stream()
+                .filter(id -> id.value().equals(entry.key()))
+                .findAny()
+                .ifPresent(this::markMissing);
+    }
+
     private void markMissing(ServerId id) {
         if (servers.containsKey(id)) {
             missingSinceMillis.putIfAbsent(id, clock.millis());
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/TopicFollower.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/TopicFollower.java
@@ -31,6 +31,7 @@
     private final long waitMillis;
     private final LongSupplier pauseMillis;
     private final Listener listener;
+    private final ErrorGuard guard;
     /** Offset of the next read; negative until the newest records have been read. */
     private long nextOffset = -1;
 
@@ -40,6 +41,7 @@
     /**
      * @param waitMillis how long the store holds a read open if there is no new record
      * @param pauseMillis supplies the pause after a successful read
+     * @param guard catches unexpected errors of the listener, after which the next read follows as usual
      */
     TopicFollower(
             Vertx vertx,
@@ -47,13 +49,15 @@
             String topic,
             long waitMillis,
             LongSupplier pauseMillis,
-            Listener listener) {
+            Listener listener,
+            ErrorGuard guard) {
         this.vertx = vertx;
         this.store = store;
         this.topic = topic;
         this.waitMillis = waitMillis;
         this.pauseMillis = pauseMillis;
         this.listener = listener;
+        this.guard = guard;
     }
 
     void readNext() {
@@ -68,7 +72,7 @@
     private void onNewest(StoreClient.Page page) {
         onSuccess();
         nextOffset = page.nextOffset();
-        listener.onAll(page.entries());
+        guard.run("records of " + topic, () -> listener.onAll(page.entries()));
         scheduleRead(pauseMillis.getAsLong());
     }
 
@@ -85,7 +89,7 @@
         }
         nextOffset = page.nextOffset();
         if (!page.entries().isEmpty()) {
-            listener.onChanges(page.entries());
+            guard.run("records of " + topic, () -> listener.onChanges(page.entries()));
         }
         scheduleRead(pauseMillis.getAsLong());
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.banyanspoke.api.ids.HostId;
@@ -44,6 +46,7 @@
     private final FencingTokens tokens;
     private final ServerRegistry registry;
     private final MonotonicClock clock;
+    private final LongSupplier wallClockMillis;
     private final Map<CallerJobId, Set<HostId>> waitingHosts = new HashMap<>();
     private long registration;
     private long round;
@@ -51,6 +54,7 @@
     private boolean handingOver;
     private Set<ServerId> assigned = Set.of();
     private long lastTickMillis = NEVER;
+    private long lastTickWallMillis;
     private long catchUpEndMillis;
 
     ZoneDispatcher(
@@ -60,7 +64,8 @@
             ServerPool pool,
             FencingTokens tokens,
             ServerRegistry registry,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            LongSupplier wallClockMillis) {
         this.host = host;
         this.zone = zone;
         this.processorMillicores = processorMillicores;
@@ -68,6 +73,7 @@
         this.tokens = tokens;
         this.registry = registry;
         this.clock = clock;
+        this.wallClockMillis = wallClockMillis;
         this.catchUpEndMillis = clock.millis();
     }
 
@@ -213,7 +219,7 @@
     /** Cancels jobs whose entry hosts are no longer alive, and runs the due work of the pool. */
     void tick(Predicate<HostId> isAlive) {
         detectPause();
-        lastTickMillis = clock.millis();
+        recordTick(clock.millis(), wallClockMillis.getAsLong());
         for (Map.Entry<CallerJobId, Set<HostId>> each : List.copyOf(waitingHosts.entrySet())) {
             each.getValue().removeIf(waiting -> !waiting.equals(host) && !isAlive.test(waiting));
             if (each.getValue().isEmpty()) {
@@ -226,17 +232,29 @@
         }
     }
 
+    /**
+     * Detects a pause of the process by the monotonic clock, and a suspension of the machine, during which that clock
+     * stands still, by the wall clock. A wall clock that is set forward counts as a suspension too, which only delays
+     * jobs.
+     */
     private void detectPause() {
         long nowMillis = clock.millis();
-        if (lastTickMillis != NEVER && nowMillis - lastTickMillis >= PAUSE_THRESHOLD_MILLIS) {
+        long nowWallMillis = wallClockMillis.getAsLong();
+        long stoodMillis = Math.max(nowMillis - lastTickMillis, nowWallMillis - lastTickWallMillis);
+        if (lastTickMillis != NEVER && stoodMillis >= PAUSE_THRESHOLD_MILLIS) {
             catchUpEndMillis = nowMillis + CATCH_UP_MILLIS;
             LOG.event(Logger.Level.WARN, "process was paused")
-                    .with("stoodMillis", nowMillis - lastTickMillis)
+                    .with("stoodMillis", stoodMillis)
                     .write();
-            lastTickMillis = nowMillis;
+            recordTick(nowMillis, nowWallMillis);
         }
     }
 
+    private void recordTick(long nowMillis, long nowWallMillis) {
+        lastTickMillis = nowMillis;
+        lastTickWallMillis = nowWallMillis;
+    }
+
     /**
      * Accepts a job of an entry host. Refuses jobs that may have been buffered in a connection while this process was
      * paused: their entry hosts may have reported them as lost, and the callers may have sent them elsewhere.
@@ -252,10 +270,35 @@
             return;
         }
         waitingHosts.computeIfAbsent(job.id(), key -> new HashSet<>()).add(from);
-        pool.submit(job, outcome -> {
-            waitingHosts.remove(job.id());
-            onEnded.accept(outcome);
-        });
+        AtomicBoolean ended = new AtomicBoolean();
+        Consumer<JobOutcome> endOnce = outcome -> {
+            if (ended.compareAndSet(false, true)) {
+                waitingHosts.remove(job.id());
+                onEnded.accept(outcome);
+            }
+        };
+        try {
+            pool.submit(job, endOnce);
+        } catch (RuntimeException e) {
+            abandon(job.id(), e);
+            endOnce.accept(JobOutcome.abandoned("unexpected error while the job was submitted"));
+        }
+    }
+
+    /** Stops a job whose submission failed halfway, so that it does not run on without anybody waiting for it. */
+    private void abandon(CallerJobId job, RuntimeException error) {
+        LOG.event(Logger.Level.ERROR, "unexpected error while a job was submitted")
+                .with("job", job)
+                .cause(error)
+                .write();
+        try {
+            pool.cancel(job, "unexpected error while the job was submitted");
+        } catch (RuntimeException e) {
+            LOG.event(Logger.Level.ERROR, "unexpected error while a job was cancelled")
+                    .with("job", job)
+                    .cause(e)
+                    .write();
+        }
     }
 
     /** Removes an entry host from those that wait for a job; cancels the job if none is left. */
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.host;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.Set;
 import org.banyanspoke.api.ids.HostId;
@@ -13,6 +14,9 @@
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.QueuePolicy;
 import org.banyanspoke.core.pool.TaskRequirements;
+import org.banyanspoke.peer.generated.Frame;
+import org.banyanspoke.peer.generated.PoolJobCancel;
+import org.banyanspoke.peer.generated.PoolJobReply;
 import org.junit.jupiter.api.Test;
 
 /** Guards against fields that are lost in encoding or decoding. */
@@ -51,4 +55,23 @@
             assertThat(PoolMessages.decode(PoolMessages.encode(outcome))).isEqualTo(outcome);
         }
     }
+
+    /** The caller of such a job was told that it had completed. */
+    @Test
+    void aReplyOfAnotherTypeIsNotAnOutcome() {
+        Frame other = Frame.newBuilder()
+                .setPoolJobCancel(PoolJobCancel.getDefaultInstance())
+                .build();
+        assertThatThrownBy(() -> PoolMessages.decodeOutcome(other)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> PoolMessages.decodeOutcome(Frame.getDefaultInstance()))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @Test
+    void anUnknownOutcomeIsRejected() {
+        Frame unknown = Frame.newBuilder()
+                .setPoolJobReply(PoolJobReply.newBuilder().setOutcomeValue(77))
+                .build();
+        assertThatThrownBy(() -> PoolMessages.decodeOutcome(unknown)).isInstanceOf(IllegalArgumentException.class);
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
@@ -68,4 +68,17 @@
         nowMillis.addAndGet(10_000);
         assertThat(registry.serversIn(ZONE)).hasSize(1);
     }
+
+    /** A host that started later did not use such a server, but a host that had read its earlier entry did. */
+    @Test
+    void dropsAServerWhoseEntryHasBecomeInvalid() {
+        registry.onAll(List.of(entry("i-1"), entry("i-2")));
+        assertThat(registry.serversIn(ZONE)).hasSize(2);
+        registry.onChanges(List.of(new StoreClient.Entry("i-1", new byte[] {1, 2})));
+        assertThat(registry.serversIn(ZONE)).hasSize(2);
+        nowMillis.addAndGet(2_600);
+        assertThat(registry.serversIn(ZONE)).hasSize(1);
+        registry.onChanges(List.of(entry("i-1")));
+        assertThat(registry.serversIn(ZONE)).hasSize(2);
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/TopicFollowerTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/TopicFollowerTest.java
@@ -16,6 +16,9 @@
 /** Guards against changes that are missed during a store outage or after the store has discarded its history. */
 class TopicFollowerTest {
     private static final String TOPIC = "keyed.test";
+    /** Key of a record on which the listener throws an unchecked exception. */
+    private static final String FAILING_KEY = "failing";
+
     private static final long LIMIT_MILLIS = 10_000;
 
     private final Vertx vertx = Vertx.vertx();
@@ -32,6 +35,9 @@
         @Override
         public void onChanges(List<StoreClient.Entry> entries) {
             entries.forEach(entry -> received.add(entry.key()));
+            if (entries.stream().anyMatch(entry -> entry.key().equals(FAILING_KEY))) {
+                throw new IllegalStateException("simulated error in a listener");
+            }
         }
     };
 
@@ -40,7 +46,9 @@
         store.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
         put("first");
         StoreClient client = new StoreClient(vertx, store::address);
-        vertx.runOnContext(unused -> new TopicFollower(vertx, client, TOPIC, 200, () -> 20, listener).readNext());
+        vertx.runOnContext(unused -> new TopicFollower(
+                        vertx, client, TOPIC, 200, () -> 20, listener, new ErrorGuard(System::nanoTime))
+                .readNext());
         awaitReceived("all", "first");
     }
 
@@ -86,4 +94,36 @@
         store.setDown(false);
         awaitReceived("all", "first", "all", "first", "second");
     }
+
+    /** The topic was never read again after such an error. */
+    @Test
+    void continuesAfterAnUnexpectedErrorInTheListener() throws Exception {
+        put(FAILING_KEY);
+        awaitReceived("all", "first", FAILING_KEY);
+        put("second");
+        awaitReceived("all", "first", FAILING_KEY, "second");
+    }
+
+    @Test
+    void continuesAfterAnUnexpectedErrorInTheFirstRead() throws Exception {
+        store.setDown(true);
+        Thread.sleep(400);
+        put(FAILING_KEY);
+        store.dropHistory(TOPIC);
+        store.setDown(false);
+        awaitReceived("all", "first", "all", "first", FAILING_KEY);
+        put("second");
+        awaitReceived("all", "first", "all", "first", FAILING_KEY, "second");
+    }
+
+    /** Such a record was read again and again, and the records after it were never delivered. */
+    @Test
+    void skipsARecordWithoutAKey() throws Exception {
+        store.putRaw(TOPIC, new byte[0]);
+        store.putRaw(TOPIC, new byte[] {9, 'k'});
+        put("second");
+        awaitReceived("all", "first", "second");
+        put("third");
+        awaitReceived("all", "first", "second", "third");
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -36,6 +37,7 @@
     private final ServerRegistry registry = new ServerRegistry(() -> 1);
     private final RecordingPool pool = new RecordingPool();
     private long nowMillis = 5_000;
+    private long wallClockMillis = 1_800_000_000_000L;
     private final ZoneDispatcher dispatcher = new ZoneDispatcher(
             new HostId("weak"),
             ZONE,
@@ -43,7 +45,8 @@
             pool,
             new FencingTokens(() -> 1_800_000_000_000L),
             registry,
-            () -> TimeUnit.MILLISECONDS.toNanos(nowMillis));
+            () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
+            () -> wallClockMillis);
     private final HostState strong =
             new HostState(new HostId("strong"), ZONE, 9, 1_500, false, 0, Set.of(), PoolLoad.NONE);
 
@@ -51,7 +54,9 @@
     private static final class RecordingPool implements ServerPool {
         private final Set<ServerId> owned = new HashSet<>();
         private final Set<ServerId> busy = new HashSet<>();
+        private final List<CallerJobId> cancelled = new ArrayList<>();
         private boolean released;
+        private boolean failing;
 
         @Override
         public void assign(Collection<ServerDescriptor> servers) {
@@ -61,11 +66,16 @@
 
         @Override
         public void submit(PooledJob job, Consumer<JobOutcome> onEnded) {
+            if (failing) {
+                throw new IllegalStateException("simulated error");
+            }
             onEnded.accept(JobOutcome.completed());
         }
 
         @Override
-        public void cancel(CallerJobId id, String reason) {}
+        public void cancel(CallerJobId id, String reason) {
+            cancelled.add(id);
+        }
 
         @Override
         public void release(String reason) {
@@ -157,6 +167,15 @@
         }
     }
 
+    /** The caller of such a job got no answer, and tasks that had started ran on. */
+    @Test
+    void abandonsAJobWhoseSubmissionFailsUnexpectedly() {
+        pool.failing = true;
+        assertThat(submitLocally()).isEqualTo(JobOutcome.Kind.ABANDONED);
+        assertThat(pool.cancelled).hasSize(1);
+        assertThat(dispatcher.waitingHosts()).isEmpty();
+    }
+
     @Test
     void drainingKeepsOnlyBusyServers() {
         pool.busy.add(SECOND);
@@ -198,4 +217,46 @@
             assertThat(submitLocally()).isEqualTo(JobOutcome.Kind.COMPLETED);
         }
     }
+
+    /** The monotonic clock of a suspended machine stands still, so only the wall clock shows how long it was away. */
+    @Nested
+    class AfterASuspensionOfTheMachine {
+        private static final HostId ENTRY_HOST = new HostId("other");
+
+        @BeforeEach
+        void suspendMachine() {
+            tick(0);
+            wallClockMillis += 2_000;
+        }
+
+        private void tick(long elapsedMillis) {
+            nowMillis += elapsedMillis;
+            wallClockMillis += elapsedMillis;
+            dispatcher.tick(host -> true);
+        }
+
+        @Test
+        void refusesJobsBufferedInAConnection() {
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.REFUSED);
+            tick(20);
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.REFUSED);
+        }
+
+        @Test
+        void acceptsJobsAfterTheCatchUpTime() {
+            for (int i = 0; i < 10; i++) {
+                tick(20);
+            }
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.COMPLETED);
+        }
+    }
+
+    @Test
+    void acceptsJobsWhenTheWallClockIsSetBack() {
+        dispatcher.tick(host -> true);
+        nowMillis += 200;
+        wallClockMillis -= 5_000;
+        dispatcher.tick(host -> true);
+        assertThat(submitFrom(new HostId("other"))).isEqualTo(JobOutcome.Kind.COMPLETED);
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -19,7 +19,20 @@
 public final class StoreStandin {
     private static final int HEADER_BYTES = 16;
 
-    private record Entry(String key, byte[] value) {}
+    /** A record; its content is what a read of the log returns. */
+    private record Entry(String key, byte[] value, byte[] content) {
+        Entry(String key, byte[] value) {
+            this(key, value, content(key.getBytes(StandardCharsets.UTF_8), value));
+        }
+
+        private static byte[] content(byte[] key, byte[] value) {
+            return Buffer.buffer()
+                    .appendByte((byte) key.length)
+                    .appendBytes(key)
+                    .appendBytes(value)
+                    .getBytes();
+        }
+    }
 
     /** A long-poll read that waits for a record. */
     private record PendingRead(HttpServerRequest request, String topic, int from) {}
@@ -69,6 +82,11 @@
         append(topic, new Entry(key, value.toBuffer().getBytes()));
     }
 
+    /** Appends a record whose content need not be a key and a value, as another writer might. */
+    public synchronized void putRaw(String topic, byte[] content) {
+        append(topic, new Entry(null, new byte[0], content));
+    }
+
     /**
      * Writes a configuration with one queue, as an operator does.
      *
@@ -136,6 +154,9 @@
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         for (int offset = 0; offset < entries.size(); offset++) {
             Entry entry = entries.get(offset);
+            if (entry.key() == null) {
+                continue;
+            }
             newest.put(
                     entry.key(),
                     new JsonObject()
@@ -178,11 +199,7 @@
         Buffer body = Buffer.buffer(HEADER_BYTES).appendLong(size(read.topic())).appendLong(0);
         List<Entry> entries = topics.getOrDefault(read.topic(), List.of());
         for (Entry entry : entries.subList(Math.min(read.from(), entries.size()), entries.size())) {
-            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-            body.appendInt(1 + key.length + entry.value().length)
-                    .appendByte((byte) key.length)
-                    .appendBytes(key)
-                    .appendBytes(entry.value());
+            body.appendInt(entry.content().length).appendBytes(entry.content());
         }
         var unused = read.request().response().end(body);
     }
