--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
@@ -18,6 +18,8 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
     /** Retry period for hosts that are not known to be alive. */
     private static final long SILENT_RETRY_MILLIS = 1_000;
+    /** Checks for silent hosts follow each other much faster, unless this process was paused or slow. */
+    private static final long PAUSE_THRESHOLD_MILLIS = 200;
     /** A pool is short of capacity if less than one part in this many is free; jobs may then go to other zones. */
     private static final int LOW_CAPACITY_DIVISOR = 4;
 
@@ -25,6 +27,7 @@
     private final Supplier<Set<HostId>> hostsWithJobsHere;
     private final Map<HostId, MonitoredHost> hosts = new HashMap<>();
     private final Map<HostId, Long> lastRequestMillis = new HashMap<>();
+    private long lastCheckMillis = NEVER;
 
     /** How closely a host is monitored, from the shortest silence timeout to the longest. */
     private enum MonitoringLevel {
@@ -114,6 +117,7 @@
      */
     public Map<HostId, Long> removeSilent(HostState own) {
         long nowMillis = clock.millis();
+        discountPause(nowMillis);
         boolean shortOfCapacity = isOwnZoneShortOfCapacity(own);
         boolean withoutDispatcher = !own.dispatching() && dispatcherOf(own) == null;
         Set<HostId> jobSenders = hostsWithJobsHere.get();
@@ -132,6 +136,18 @@
         return silent;
     }
 
+    /**
+     * Extends all silence deadlines by the time for which this process did not run: what the others have sent meanwhile
+     * has not been read yet.
+     */
+    private void discountPause(long nowMillis) {
+        long sinceLastCheckMillis = nowMillis - lastCheckMillis;
+        if (lastCheckMillis != NEVER && sinceLastCheckMillis >= PAUSE_THRESHOLD_MILLIS) {
+            hosts.values().forEach(each -> each.silenceDeadlineMillis += sinceLastCheckMillis);
+        }
+        lastCheckMillis = nowMillis;
+    }
+
     /** Returns whether a state exchange with a host is due. One exchange updates both sides. */
     public boolean isExchangeDue(HostId host) {
         MonitoredHost monitored = hosts.get(host);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
@@ -173,4 +173,27 @@
             assertThat(detector.isAlive(OTHER_ZONE_HOST)).isTrue();
         }
     }
+
+    /** Such a process counted all others as lost, and ended the jobs of their callers, before it read their messages. */
+    @Nested
+    class AProcessThatWasPausedItself {
+        @Test
+        void doesNotCountItsPauseAsSilenceOfTheOthers() {
+            hostsWithJobsHere.add(SAME_ZONE_HOST);
+            advance(100, FREE);
+            nowMillis += 2_000;
+            assertThat(detector.removeSilent(self)).isEmpty();
+            advance(200, FREE);
+            assertThat(detector.isAlive(DISPATCHER)).isTrue();
+            assertThat(detector.isAlive(SAME_ZONE_HOST)).isTrue();
+        }
+
+        @Test
+        void stillDetectsAHostThatIsSilentAfterwards() {
+            advance(100, FREE);
+            nowMillis += 2_000;
+            advance(800, null);
+            assertThat(detector.isAlive(DISPATCHER)).isFalse();
+        }
+    }
 }
