--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -284,10 +284,11 @@
         }
     }
 
+    /** Judges progress by the time of its last report: a server that is late to report is not a stalled one. */
     private void stopStalledRuns(long nowMillis) {
         for (OwnedServer server : servers.values()) {
             for (Run run : server.runs()) {
-                long elapsedMillis = nowMillis - run.startSentMillis;
+                long elapsedMillis = run.lastReportMillis - run.startSentMillis;
                 if (!run.isStopping()
                         && run.percentDone < STALL_PROGRESS_PERCENT
                         && elapsedMillis > STALL_TIME_FACTOR * run.expectedMillis + STALL_MARGIN_MILLIS) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -413,6 +413,7 @@
             return;
         }
         run.percentDone = progress.percent();
+        run.lastReportMillis = clock.millis();
         if (run.state == Run.State.STARTING) {
             run.state = Run.State.RUNNING;
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
@@ -29,6 +29,8 @@
     long firstConclusiveRenewal = Long.MAX_VALUE;
 
     int percentDone;
+    /** Time at which the server last reported this run as active; initially the time of the start command. */
+    long lastReportMillis;
 
     Run(RunKey key, JobProgress job, long startSentMillis, long expectedMillis) {
         this.key = key;
@@ -39,6 +41,7 @@
         this.startSentMillis = startSentMillis;
         this.expectedMillis = expectedMillis;
         this.lastCommandMillis = startSentMillis;
+        this.lastReportMillis = startSentMillis;
     }
 
     /** Returns the expected work from start to end, in millicore-milliseconds. */
