--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/TopicFollowerTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/TopicFollowerTest.java
@@ -126,4 +126,17 @@
         put("third");
         awaitReceived("all", "first", "second", "third");
     }
+
+    /** The follower waited for offsets that the new log reached only much later, and missed what was written before. */
+    @Test
+    void readsAllKeysAgainWhenTheLogStartsAnew() throws Exception {
+        put("second");
+        awaitReceived("all", "first", "second");
+        store.setDown(true);
+        Thread.sleep(400);
+        store.reset(TOPIC);
+        put("third");
+        store.setDown(false);
+        awaitReceived("all", "first", "second", "all", "third");
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -77,6 +77,12 @@
         firstRetained.put(topic, size(topic));
     }
 
+    /** Replaces a topic by an empty one, as if the store had been set up anew. */
+    public synchronized void reset(String topic) {
+        topics.remove(topic);
+        firstRetained.remove(topic);
+    }
+
     /** Appends a record, as an operator or a backend server does. */
     public synchronized void put(String topic, String key, JsonObject value) {
         append(topic, new Entry(key, value.toBuffer().getBytes()));
