--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/Main.java
@@ -26,7 +26,7 @@
         int metricsPort = metricsPort(args);
         SettingsWatch watch;
         try {
-            watch = new SettingsWatch(PlatformSettings.file(System.getenv()));
+            watch = new SettingsWatch(PlatformSettings.file(System.getenv()), PlatformSettings::parse);
         } catch (PlatformException e) {
             System.err.println(e.getMessage());
             Runtime.getRuntime().halt(EXIT_SETTINGS_INVALID);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/SettingsWatch.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/SettingsWatch.java
@@ -13,7 +13,15 @@
 final class SettingsWatch {
     private static final EventLog LOG = EventLog.of(SettingsWatch.class);
 
+    /** Parses the content of a settings file. */
+    @FunctionalInterface
+    interface Parser {
+        PlatformSettings parse(String text) throws PlatformException;
+    }
+
     private final Path file;
+    private final Parser parser;
+    private String text;
     private PlatformSettings current;
     private String lastError = "";
 
@@ -22,19 +30,29 @@
      *
      * @throws PlatformException if the file cannot be read or is invalid
      */
-    SettingsWatch(Path file) throws PlatformException {
+    SettingsWatch(Path file, Parser parser) throws PlatformException {
         this.file = file;
-        this.current = PlatformSettings.load(file);
+        this.parser = parser;
+        this.text = PlatformSettings.read(file);
+        this.current = parser.parse(text);
     }
 
     PlatformSettings current() {
         return current;
     }
 
-    /** Reloads the file; logs each distinct error once until a load succeeds. */
+    /**
+     * Reloads the file; logs each distinct error once until a load succeeds. The same content is not parsed again, since
+     * that takes a large part of the processor time of an idle host.
+     */
     void reload() {
         try {
-            PlatformSettings newer = PlatformSettings.load(file);
+            String newText = PlatformSettings.read(file);
+            if (newText.equals(text)) {
+                return;
+            }
+            text = newText;
+            PlatformSettings newer = parser.parse(newText);
             lastError = "";
             if (newer.equals(current)) {
                 return;
