--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/ZoneElectionTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/ZoneElectionTest.java
@@ -126,4 +126,41 @@
                     .isFalse();
         }
     }
+
+    /** After a loss of all hosts, each waited a fixed time for states that it had already received. */
+    @Nested
+    class AfterARestartOfAllHosts {
+        private final HostState self = host("a", 1, false, 0);
+        private final HostState sameZone = host("a", 2, false, 0);
+        private final HostState otherZone = host("b", 3, false, 0);
+        private final Set<HostId> listed = Set.of(sameZone.host(), otherZone.host());
+
+        @Test
+        void aHostThatHasHeardAllOthersNeedNotWait() {
+            assertThat(ZoneElection.isInformed(self, listed, List.of(sameZone, otherZone), 0))
+                    .isTrue();
+        }
+
+        @Test
+        void aHostWaitsForThoseItHasNotHeard() {
+            assertThat(ZoneElection.isInformed(self, listed, List.of(sameZone), 299))
+                    .isFalse();
+            assertThat(ZoneElection.isInformed(self, listed, List.of(sameZone), 300))
+                    .isTrue();
+        }
+
+        /** Otherwise a weaker host would claim, and hand its servers over a moment later. */
+        @Test
+        void aHostWaitsForTheRegistrationOfOthersInItsZone() {
+            HostState unregistered = host("a", 0, false, 0);
+            assertThat(ZoneElection.isInformed(self, Set.of(unregistered.host()), List.of(unregistered), 100))
+                    .isFalse();
+        }
+
+        @Test
+        void aHostWithoutAListWaits() {
+            assertThat(ZoneElection.isInformed(self, Set.of(), List.of(), 100)).isFalse();
+            assertThat(ZoneElection.isInformed(self, Set.of(), List.of(), 300)).isTrue();
+        }
+    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -92,6 +92,11 @@
         return List.copyOf(addresses.entrySet());
     }
 
+    /** Returns the ids of the other hosts. */
+    Set<HostId> otherHosts() {
+        return Set.copyOf(addresses.keySet());
+    }
+
     String address(HostId host) {
         return addresses.get(host);
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -13,6 +13,7 @@
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostFailureDetector;
 import org.banyanspoke.core.ownership.JobRouter;
+import org.banyanspoke.core.ownership.ZoneElection;
 import org.banyanspoke.core.pool.ServerPool;
 import org.banyanspoke.core.pool.SiteConfig;
 import org.banyanspoke.core.time.MonotonicClock;
@@ -38,8 +39,6 @@
     private static final long TICK_MILLIS = 20;
     /** Resolution of the detection of lost hosts on an idle host. */
     private static final long IDLE_TICK_MILLIS = 60;
-    /** Delay from registration to the first claim of dispatching; the states of the other hosts arrive meanwhile. */
-    private static final long CLAIM_DELAY_MILLIS = 300;
 
     private static final long REGISTER_TIMEOUT_MILLIS = 1_000;
     private static final long REGISTER_RETRY_MILLIS = 300;
@@ -85,6 +84,9 @@
     private final JobForwarder jobs;
     private final CallerServer callers;
     private long registeredMillis = Long.MAX_VALUE;
+    /** Whether this host takes part in the election of its zone's dispatcher. */
+    private boolean informed;
+
     private long stopRequestedMillis = -1;
     private Runnable onStopped = () -> {};
 
@@ -229,9 +231,10 @@
     }
 
     private void reconcile() {
-        if (registeredMillis == Long.MAX_VALUE || clock.millis() - registeredMillis < CLAIM_DELAY_MILLIS) {
+        if (!informed && !isInformed()) {
             return;
         }
+        informed = true;
         boolean wasDispatching = dispatcher.dispatching();
         dispatcher.reconcile(exchange.liveStates());
         if (wasDispatching != dispatcher.dispatching()) {
@@ -240,6 +243,15 @@
         }
     }
 
+    private boolean isInformed() {
+        return registeredMillis != Long.MAX_VALUE
+                && ZoneElection.isInformed(
+                        dispatcher.state(),
+                        directory.otherHosts(),
+                        exchange.liveStates(),
+                        clock.millis() - registeredMillis);
+    }
+
     /** Reloads the settings. */
     void reload() {
         context.runOnContext(unused -> settingsWatch.reload());
