--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -22,7 +22,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
@@ -215,7 +214,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void ofSettingsThatAreNotValidChangesNothing() throws Exception {
             hosts.get(0).settings("a", 2.0, "nowhere");
             hosts.get(0).signal("HUP");
