--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/SettingsWatch.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/SettingsWatch.java
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Reloads the file; logs each distinct error once until a load succeeds. The same content is not parsed again, since
-     * that takes a large part of the processor time of an idle host.
+     * Reloads the file; logs each distinct error once until a load succeeds. The same content is not parsed again, to
+     * save processor time on idle hosts.
      */
     void reload() {
         try {
