--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
@@ -18,6 +18,8 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
     /** Retry period for hosts that are not known to be alive. */
     private static final long SILENT_RETRY_MILLIS = 1_000;
+    /** An exchange of states ends within this time. */
+    private static final long EXCHANGE_MILLIS = 400;
     /** Checks for silent hosts follow each other much faster, unless this process was paused or slow. */
     private static final long PAUSE_THRESHOLD_MILLIS = 200;
     /** A pool is short of capacity if less than one part in this many is free; jobs may then go to other zones. */
@@ -57,11 +59,25 @@
         private HostState state;
         private long lastHeardMillis;
         private long silenceDeadlineMillis;
+        /** Whether the deadline has been extended since the last exchange. */
+        private boolean extended;
+
         private MonitoringLevel level = MonitoringLevel.CRITICAL;
 
         private void recordExchange(long nowMillis) {
             lastHeardMillis = nowMillis;
             silenceDeadlineMillis = nowMillis + level.silenceTimeoutMillis;
+            extended = false;
+        }
+
+        /**
+         * Extends the deadline once between two exchanges, so that a process that stays slow still detects silent hosts.
+         */
+        private void extendDeadline(long millis) {
+            if (!extended) {
+                extended = true;
+                silenceDeadlineMillis = Math.max(silenceDeadlineMillis, millis);
+            }
         }
 
         /**
@@ -117,7 +133,7 @@
      */
     public Map<HostId, Long> removeSilent(HostState own) {
         long nowMillis = clock.millis();
-        discountPause(nowMillis);
+        allowForPause(nowMillis);
         boolean shortOfCapacity = isOwnZoneShortOfCapacity(own);
         boolean withoutDispatcher = !own.dispatching() && dispatcherOf(own) == null;
         Set<HostId> jobSenders = hostsWithJobsHere.get();
@@ -137,13 +153,12 @@
     }
 
     /**
-     * Extends all silence deadlines by the time for which this process did not run: what the others have sent meanwhile
-     * has not been read yet.
+     * Leaves time for an exchange if this process did not run for a while: what the others have sent meanwhile has not
+     * been read yet.
      */
-    private void discountPause(long nowMillis) {
-        long sinceLastCheckMillis = nowMillis - lastCheckMillis;
-        if (lastCheckMillis != NEVER && sinceLastCheckMillis >= PAUSE_THRESHOLD_MILLIS) {
-            hosts.values().forEach(each -> each.silenceDeadlineMillis += sinceLastCheckMillis);
+    private void allowForPause(long nowMillis) {
+        if (lastCheckMillis != NEVER && nowMillis - lastCheckMillis >= PAUSE_THRESHOLD_MILLIS) {
+            hosts.values().forEach(each -> each.extendDeadline(nowMillis + EXCHANGE_MILLIS));
         }
         lastCheckMillis = nowMillis;
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
@@ -188,6 +188,17 @@
             assertThat(detector.isAlive(SAME_ZONE_HOST)).isTrue();
         }
 
+        /** A deadline that moved with each slow check was never reached. */
+        @Test
+        void detectsASilentHostThoughItStaysSlow() {
+            advance(100, FREE);
+            for (int i = 0; i < 6; i++) {
+                nowMillis += 250;
+                detector.removeSilent(self);
+            }
+            assertThat(detector.isAlive(DISPATCHER)).isFalse();
+        }
+
         @Test
         void stillDetectsAHostThatIsSilentAfterwards() {
             advance(100, FREE);
