--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -78,7 +78,8 @@
         if (IpEndpoint.tryParse(address).isPresent()) {
             addresses.put(host, address);
         } else {
-            logInvalid(host.value(), "address \"" + address + "\" is not ip:port");
+            // The text is not logged, because it may be as long as a record.
+            logInvalid(host.value(), "the address is not ip:port");
         }
     }
 
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -17,6 +17,7 @@
 import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
 import org.banyanspoke.host.standins.LeasedServer;
+import org.banyanspoke.host.standins.OtherWriter;
 import org.banyanspoke.host.standins.RunLedger;
 import org.banyanspoke.host.standins.StoreStandin;
 import org.junit.jupiter.api.AfterEach;
@@ -57,9 +58,7 @@
         Eventually.await(store.start());
         store.putConfiguration(1, 1.6);
         for (int i = 0; i < SERVERS; i++) {
-            LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
-            Eventually.await(server.start());
-            store.put("keyed.servers", "i-" + i, server.entry("a"));
+            addServer(i);
         }
         startHost("strong", 2.0);
         startHost("weak", 0.5);
@@ -74,6 +73,12 @@
                 "the stronger host dispatches steadily");
     }
 
+    private void addServer(int index) throws Exception {
+        LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
+        Eventually.await(server.start());
+        store.put("keyed.servers", "i-" + index, server.entry("a"));
+    }
+
     private void startHost(String name, double processors) throws IOException {
         HostUnderTest host = new HostUnderTest(name, folder);
         host.settings("a", processors, store.address());
@@ -222,6 +227,37 @@
         }
     }
 
+    /** Hosts that read such a record ended, or never followed its topic again. */
+    @Nested
+    class OddRecordsOfAnotherWriter {
+        @Test
+        void doNotStopHostsFromFollowingTheStore() throws Exception {
+            OtherWriter otherWriter = new OtherWriter(store);
+            otherWriter.writeAll();
+            otherWriter.writeConfigurations();
+            addServer(SERVERS);
+            store.putConfiguration(2, 1.7);
+            within(
+                    10_000,
+                    () -> hosts.get(0).metric("pool_capacity_millicores") == (SERVERS + 1) * CAPACITY_MILLICORES);
+            for (HostUnderTest host : hosts) {
+                within(10_000, () -> host.metric("entry_config_version") == 2);
+                assertThat(host.process().isAlive()).isTrue();
+                assertCompleted(send(host, 3, 100));
+            }
+        }
+
+        @Test
+        void doNotStopAHostThatStartsAmongThem() throws Exception {
+            new OtherWriter(store).writeAll();
+            store.putConfiguration(2, 1.7);
+            startHost("late", 0.5);
+            HostUnderTest late = hosts.get(2);
+            within(START_MILLIS, () -> late.readiness() == 200 && late.metric("peers_heard") == 2);
+            assertCompleted(send(late, 3, 100));
+        }
+    }
+
     @Nested
     class AStoreOutage {
         @Test
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
@@ -9,6 +9,7 @@
 import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
 import org.banyanspoke.host.standins.LeasedServer;
+import org.banyanspoke.host.standins.OtherWriter;
 import org.banyanspoke.host.standins.RunLedger;
 import org.banyanspoke.host.standins.StoreStandin;
 
@@ -24,6 +25,7 @@
     private final RunLedger ledger;
     private final Path folder;
     private final StoreStandin store;
+    private final OtherWriter otherWriter;
     private final List<Server> servers = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private int configurationVersion;
@@ -38,6 +40,7 @@
         this.ledger = ledger;
         this.folder = folder;
         this.store = new StoreStandin(vertx);
+        this.otherWriter = new OtherWriter(store);
     }
 
     void start(int hostCount, int serverCount) throws Exception {
@@ -107,7 +110,9 @@
         return capacityMillicores == (double) servers.size() * CAPACITY_MILLICORES;
     }
 
+    /** Begins a fault. Another writer leaves odd records in the store all the time, so each fault comes with some. */
     void begin(FaultPlan.Fault fault) throws Exception {
+        otherWriter.writeNext();
         switch (fault.kind().target()) {
             case HOST -> beginOnHost(fault.kind(), hosts.get(fault.index()));
             case SERVER -> beginOnServer(fault.kind(), servers.get(fault.index()));
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -88,6 +88,11 @@
         append(topic, new Entry(key, value.toBuffer().getBytes()));
     }
 
+    /** Appends a record with any value, as another writer might. */
+    public synchronized void put(String topic, String key, byte[] value) {
+        append(topic, new Entry(key, value));
+    }
+
     /** Appends a record whose content need not be a key and a value, as another writer might. */
     public synchronized void putRaw(String topic, byte[] content) {
         append(topic, new Entry(null, new byte[0], content));
