--- a/review/standins/FrozenDispatcher.java
+++ b/review/standins/FrozenDispatcher.java
@@ -7,24 +7,27 @@
     private static final int EPISODES = 3;
     private static final long FREEZE_MILLIS = 2_400;
     private static final long DEADLINE_MILLIS = 5_000;
-    private static final int MINIONS_A_ZONE = 4;
+    private static final int MINIONS_OF_ZONE_A = 8;
+    private static final int MINIONS_OF_ZONE_B = 4;
     private static final int CPU = 16_000;
     /** Two tasks fit on a minion. */
     private static final int TASK_CPU = 6_800;
 
-    private static final int SLOTS = 2 * MINIONS_A_ZONE;
+    private static final int SLOTS = 2 * MINIONS_OF_ZONE_B;
 
     public static void main(String[] args) throws Exception {
         int exit = Site.COULD_NOT_RUN;
         try (Site site = new Site(Path.of("").toAbsolutePath(), Path.of(args[0]))) {
             site.manifest(1, DEADLINE_MILLIS, 1.6, Site.PREFIX);
-            for (int i = 0; i < MINIONS_A_ZONE; i++) {
+            for (int i = 0; i < MINIONS_OF_ZONE_A; i++) {
                 site.minion("i-a" + i, "zone-a", CPU, List.of("a", "r1-1"));
+            }
+            for (int i = 0; i < MINIONS_OF_ZONE_B; i++) {
                 site.minion("i-b" + i, "zone-b", CPU, List.of("a", "r2-1"));
             }
             EntryHost frozen = site.host("edge-a-1", "zone-a");
             site.host("edge-b-1", "zone-b");
-            site.start(2.0 * MINIONS_A_ZONE * CPU);
+            site.start(1.0 * (MINIONS_OF_ZONE_A + MINIONS_OF_ZONE_B) * CPU);
             for (int episode = 0; episode < EPISODES; episode++) {
                 play(site, frozen, episode);
             }
