--- a/review/run-script.sh
+++ b/review/run-script.sh
@@ -8,7 +8,7 @@
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-timeout -s TERM 115 java -Xmx256m -cp review/target/standins "$2" "$folder/record.txt"
+timeout -k 3 -s TERM 115 java -Xmx256m -cp review/target/standins "$2" "$folder/record.txt"
 case $? in
   0) exit 0 ;;
   10) exit 1 ;;
