--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
@@ -8,15 +8,29 @@
  * @param commandTimeoutMillis timeout for the reply to a start or stop; many times the round-trip time
  * @param renewWaitMillis how long a server may hold a renewal until a run ends; a fraction of the lease, so that a lost
  *     reply does not let the lease expire
+ * @param contactValidityMillis time after the last contact with a job's caller within which its runs end, unless there
+ *     is contact again; less than the time after which a caller sends the job elsewhere
  */
-public record PoolSettings(long leaseMillis, double remoteRackFactor, long commandTimeoutMillis, long renewWaitMillis) {
+public record PoolSettings(
+        long leaseMillis,
+        double remoteRackFactor,
+        long commandTimeoutMillis,
+        long renewWaitMillis,
+        long contactValidityMillis) {
     /** Allows for server clocks that run up to 2% slow and for the latency of replies. */
     private static final double LEASE_MARGIN_FACTOR = 1.04;
 
     private static final long LEASE_MARGIN_MILLIS = 100;
+    /** A new run gets at least this part of the validity of its caller's contact, so that its lease can be renewed. */
+    private static final int MIN_REMAINING_CONTACT_DIVISOR = 2;
 
     /** Returns the time since the last command with a deadline after which no run is left on an unreachable server. */
     public long leaseExpiryMillis() {
         return (long) (leaseMillis * LEASE_MARGIN_FACTOR) + LEASE_MARGIN_MILLIS;
     }
+
+    /** Returns the greatest age of the contact with a job's caller with which tasks of the job are started. */
+    public long maxContactAgeAtStartMillis() {
+        return contactValidityMillis - contactValidityMillis / MIN_REMAINING_CONTACT_DIVISOR;
+    }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
@@ -12,14 +12,22 @@
  * calls and all replies to commands must come on one thread.
  */
 public interface ServerPool {
-    /** Creates a pool without servers. */
+    /**
+     * Creates a pool without servers.
+     *
+     * @param inputClock time up to which the replies of servers that have arrived have been read; behind the clock after
+     *     the process was suspended
+     * @param contact tells whether the callers of jobs still wait
+     */
     static ServerPool create(
             ServerCommands commands,
             FencingTokenSource tokens,
             PoolSettings settings,
             MonotonicClock clock,
+            MonotonicClock inputClock,
+            CallerContact contact,
             PoolListener listener) {
-        return new DefaultServerPool(commands, tokens, settings, clock, listener);
+        return new DefaultServerPool(commands, tokens, settings, clock, inputClock, contact, listener);
     }
 
     /**
@@ -29,7 +37,8 @@
     void assign(Collection<ServerDescriptor> servers);
 
     /**
-     * Submits a job. If a job with this id is already in progress, the callback is added to it.
+     * Submits a job. If a job with this id is already in progress, the callback is added to it. Its tasks start only
+     * while there is contact with its caller; until then it waits.
      *
      * @param onOutcome called exactly once; called immediately if the job is refused
      */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.pool.CallerContact;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.FencingTokenSource;
 import org.banyanspoke.core.pool.JobOutcome;
@@ -41,6 +42,8 @@
     private final FencingTokenSource tokens;
     private final PoolSettings settings;
     private final MonotonicClock clock;
+    private final MonotonicClock inputClock;
+    private final CallerContact contact;
     private final PoolListener listener;
     private final Map<ServerId, OwnedServer> servers = new LinkedHashMap<>();
     private final Map<ServerId, OwnedServer> releasing = new HashMap<>();
@@ -59,11 +62,15 @@
             FencingTokenSource tokens,
             PoolSettings settings,
             MonotonicClock clock,
+            MonotonicClock inputClock,
+            CallerContact contact,
             PoolListener listener) {
         this.commands = commands;
         this.tokens = tokens;
         this.settings = settings;
         this.clock = clock;
+        this.inputClock = inputClock;
+        this.contact = contact;
         this.listener = listener;
         this.selector = new ServerSelector(runTimes, settings.remoteRackFactor());
     }
@@ -97,7 +104,8 @@
             servers.put(descriptor.id(), returning);
             return;
         }
-        OwnedServer server = new OwnedServer(descriptor, commands, settings, clock, serverListener);
+        OwnedServer server =
+                new OwnedServer(descriptor, commands, settings, clock, inputClock, contact, serverListener);
         servers.put(descriptor.id(), server);
         server.claim(tokens.current());
     }
@@ -334,12 +342,19 @@
     private void startPendingTasks(ServerSelector.Candidates candidates, long nowMillis) {
         int maxFreeCpu = candidates.maxFreeCpu();
         for (JobProgress progress : queue.ordered(nowMillis)) {
-            if (progress.requirements().cpuMillicores() <= maxFreeCpu && startTasks(progress, candidates, nowMillis)) {
+            if (progress.requirements().cpuMillicores() <= maxFreeCpu
+                    && hasContact(progress)
+                    && startTasks(progress, candidates, nowMillis)) {
                 maxFreeCpu = candidates.maxFreeCpu();
             }
         }
     }
 
+    /** Returns whether a job's caller certainly waits. If not, the job may already run elsewhere. */
+    private boolean hasContact(JobProgress progress) {
+        return contact.ageMillis(progress.id()) <= settings.maxContactAgeAtStartMillis();
+    }
+
     /** Starts as many tasks of a job as there is capacity for. Returns whether any was started. */
     private boolean startTasks(JobProgress progress, ServerSelector.Candidates candidates, long nowMillis) {
         boolean startedAny = false;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.banyanspoke.core.pool.CallerContact;
 import org.banyanspoke.core.pool.PoolSettings;
 import org.banyanspoke.core.pool.RunKey;
 import org.banyanspoke.core.pool.ServerCommands;
@@ -60,12 +61,16 @@
     private static final long SILENT_BUSY_RETRY_MILLIS = 100;
     /** Timeout for the reply to a renewal, in addition to the wait granted to the server. */
     private static final long RENEW_TIMEOUT_MILLIS = 300;
+    /** Wait granted to a renewal without extension; the lease is extended once there is contact with all callers. */
+    private static final long NO_CONTACT_WAIT_MILLIS = 50;
     /** Retry period for an unconfirmed stop. */
     private static final long STOP_RETRY_MILLIS = 150;
 
     private final ServerCommands commands;
     private final PoolSettings settings;
     private final MonotonicClock clock;
+    private final MonotonicClock inputClock;
+    private final CallerContact contact;
     private final Listener listener;
     private final Map<RunKey, Run> runs = new HashMap<>();
     private final Map<RunKey, Long> orphanRuns = new HashMap<>();
@@ -93,11 +98,15 @@
             ServerCommands commands,
             PoolSettings settings,
             MonotonicClock clock,
+            MonotonicClock inputClock,
+            CallerContact contact,
             Listener listener) {
         this.descriptor = descriptor;
         this.commands = commands;
         this.settings = settings;
         this.clock = clock;
+        this.inputClock = inputClock;
+        this.contact = contact;
         this.listener = listener;
     }
 
@@ -181,7 +190,7 @@
         commands.start(
                 descriptor,
                 new ServerCommands.StartCommand(
-                        run.key, payload, deadlineMillis(), tokenUsed, settings.commandTimeoutMillis()),
+                        run.key, payload, deadlineMillis(leaseMillis(run)), tokenUsed, settings.commandTimeoutMillis()),
                 reply -> onStartReply(run, tokenUsed, reply));
     }
 
@@ -216,7 +225,7 @@
                 stopOrphanRun(key, nowMillis);
             }
         });
-        if (!isIdle() && nowMillis - deadlineSentAtMillis >= settings.leaseExpiryMillis()) {
+        if (!isIdle() && inputClock.millis() - deadlineSentAtMillis >= settings.leaseExpiryMillis()) {
             onLeaseExpired("no reply before the lease expired");
         }
         renewIfDue(nowMillis);
@@ -311,12 +320,13 @@
             return;
         }
         // The lease is extended only while the server responds, so the runs of a silent server end within one lease.
-        boolean extend = responding && !runs.isEmpty();
-        long waitMillis = extend && !awaitsStoppedRuns() ? settings.renewWaitMillis() : 0;
+        long leaseMillis = leaseMillis();
+        boolean extend = responding && !runs.isEmpty() && leaseMillis > 0;
+        long waitMillis = responding && !runs.isEmpty() && !awaitsStoppedRuns() ? renewWaitMillis(extend) : 0;
         renewing = true;
         renewalCount++;
         long renewalNumber = renewalCount;
-        long deadlineMillis = extend ? deadlineMillis() : 0;
+        long deadlineMillis = extend ? deadlineMillis(leaseMillis) : 0;
         if (extend) {
             recordDeadlineSent();
         }
@@ -329,6 +339,10 @@
                 reply -> onRenewReply(renewalNumber, tokenUsed, reply));
     }
 
+    private long renewWaitMillis(boolean extend) {
+        return extend ? settings.renewWaitMillis() : Math.min(settings.renewWaitMillis(), NO_CONTACT_WAIT_MILLIS);
+    }
+
     private boolean awaitsStoppedRuns() {
         for (Run run : runs.values()) {
             if (run.state == Run.State.STOPPED) {
@@ -491,7 +505,29 @@
         }
     }
 
-    private long deadlineMillis() {
-        return serverClockMillis + (clock.millis() - serverClockReadMillis) + settings.leaseMillis();
+    /**
+     * Returns the lease for all runs on this server. It ends before any of their callers can have sent its job elsewhere,
+     * even if this process is suspended right after the renewal. Not positive if there is no contact with a caller.
+     */
+    private long leaseMillis() {
+        long leaseMillis = settings.leaseMillis();
+        for (Run run : runs.values()) {
+            if (!run.isStopping()) {
+                leaseMillis = Math.min(leaseMillis, leaseMillis(run));
+            }
+        }
+        return leaseMillis;
+    }
+
+    private long leaseMillis(Run run) {
+        return Math.min(
+                settings.leaseMillis(),
+                settings.contactValidityMillis()
+                        - contact.ageMillis(run.key.task().job()));
+    }
+
+    /** Returns the end of a lease that starts now, on the clock of the server. */
+    private long deadlineMillis(long leaseMillis) {
+        return serverClockMillis + (clock.millis() - serverClockReadMillis) + leaseMillis;
     }
 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
@@ -26,7 +26,13 @@
         tokens.register(1);
         tokens.claim(0);
         return ServerPool.create(
-                simulation, tokens, new PoolSettings(1_000, 2, 150, 250), simulation, PoolListener.NONE);
+                simulation,
+                tokens,
+                new PoolSettings(1_000, 2, 150, 250, 1_000),
+                simulation,
+                simulation,
+                CallerContact.ALWAYS,
+                PoolListener.NONE);
     }
 
     private void addServers(int fast, int slow) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -5,20 +5,28 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
 import org.banyanspoke.core.pool.SimulatedServers.StartFault;
+import org.banyanspoke.core.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Guards against exceeded server capacity, concurrent runs of a task and jobs without an outcome when servers fail. */
 class ServerPoolTest {
-    private static final PoolSettings LIMITS = new PoolSettings(1_000, 2, 150, 250);
+    private static final PoolSettings LIMITS = new PoolSettings(1_000, 2, 150, 250, 1_000);
 
     private final SimulatedServers simulation = new SimulatedServers();
+    /** Time of the last contact with the callers of all jobs. */
+    private long contactMillis = Long.MAX_VALUE;
+
+    private final CallerContact contact = job -> Math.max(0, simulation.millis() - contactMillis);
+    private final MonotonicClock inputClock = () -> TimeUnit.MILLISECONDS.toNanos(simulation.inputReadUntilMillis());
     private final ServerPool pool = newPool(1);
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
@@ -30,7 +38,7 @@
         FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
         tokens.register(registration);
         tokens.claim(0);
-        return ServerPool.create(simulation, tokens, LIMITS, simulation, listener);
+        return ServerPool.create(simulation, tokens, LIMITS, simulation, inputClock, contact, listener);
     }
 
     private void addServers(int servers) {
@@ -378,12 +386,13 @@
             FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
             tokens.register(2);
             tokens.claim(0);
-            ServerPool successor = ServerPool.create(simulation, tokens, LIMITS, simulation, new PoolListener() {
-                @Override
-                public void onServerStateChanged(ServerId server, String state, String reason) {
-                    states.add(state);
-                }
-            });
+            ServerPool successor =
+                    ServerPool.create(simulation, tokens, LIMITS, simulation, simulation, contact, new PoolListener() {
+                        @Override
+                        public void onServerStateChanged(ServerId server, String state, String reason) {
+                            states.add(state);
+                        }
+                    });
             successor.assign(simulation.descriptors());
             simulation.run(successor, 300);
             assertThat(states).containsExactly("usable");
@@ -402,4 +411,88 @@
             assertThat(jobs.kind(id)).isEqualTo(Kind.ABANDONED);
         }
     }
+
+    /** A woken dispatcher started tasks again whose callers had sent their jobs to another zone. */
+    @Nested
+    class ASuspendedProcess {
+        private static final long SUSPENDED_MILLIS = 2_400;
+
+        private CallerJobId job;
+
+        @BeforeEach
+        void startAJob() {
+            addServers(2);
+            simulation.runMillis = run -> 900;
+            job = jobs.submit(new QueuePolicy("q", "service", 0, 3, 6, 2_000), 2, 900, 8_000);
+            simulation.run(pool, 100);
+            assertThat(simulation.starts()).isEqualTo(2);
+        }
+
+        @Test
+        void startsNothingBeforeThereIsContactWithTheCaller() {
+            contactMillis = simulation.millis();
+            simulation.suspend(pool, SUSPENDED_MILLIS);
+            simulation.run(pool, 300);
+            assertThat(simulation.startCommands()).isEqualTo(2);
+        }
+
+        @Test
+        void readsTheEndsOfRunsBeforeItTakesThemForLapsed() {
+            simulation.suspend(pool, SUSPENDED_MILLIS);
+            simulation.run(pool, 300);
+            assertThat(simulation.starts()).isEqualTo(2);
+            assertThat(jobs.kind(job)).isEqualTo(Kind.COMPLETED);
+        }
+
+        @Test
+        void startsLapsedTasksAgainOnceThereIsContact() {
+            simulation.runMillis = run -> 1_800;
+            CallerJobId longer = jobs.submit(new QueuePolicy("q", "service", 0, 3, 6, 2_000), 1, 900, 8_000);
+            simulation.run(pool, 100);
+            contactMillis = simulation.millis();
+            simulation.suspend(pool, SUSPENDED_MILLIS);
+            simulation.run(pool, 100);
+            contactMillis = Long.MAX_VALUE;
+            simulation.run(pool, 2_200);
+            assertThat(jobs.kind(longer)).isEqualTo(Kind.COMPLETED);
+        }
+
+        /** Its runs end within the validity of the last contact, though the lease was renewed after that. */
+        @Test
+        void leavesNoRunBehindAfterItsEntryHostWasLostFirst() {
+            simulation.runMillis = run -> 5_000;
+            jobs.submit(new QueuePolicy("q", "service", 0, 3, 6, 2_000), 2, 900, 8_000);
+            simulation.run(pool, 100);
+            contactMillis = simulation.millis();
+            simulation.run(pool, 600);
+            simulation.suspend(pool, LIMITS.contactValidityMillis() - 600);
+            assertThat(simulation.servers.values()).allMatch(server -> server.running.isEmpty());
+        }
+    }
+
+    @Nested
+    class WithoutContactToTheCaller {
+        @Test
+        void keepsAJobWaiting() {
+            addServers(2);
+            contactMillis = simulation.millis() - 2_000;
+            CallerJobId job = jobs.submit(SimulatedJobs.LONG, 2, 100);
+            simulation.run(pool, 100);
+            assertThat(simulation.startCommands()).isZero();
+            contactMillis = simulation.millis();
+            simulation.run(pool, 300);
+            assertThat(jobs.kind(job)).isEqualTo(Kind.COMPLETED);
+        }
+
+        @Test
+        void doesNotDelayOtherJobs() {
+            addServers(2);
+            contactMillis = simulation.millis() - 2_000;
+            jobs.submit(SimulatedJobs.URGENT, 2, 100);
+            contactMillis = Long.MAX_VALUE;
+            CallerJobId job = jobs.submit(SimulatedJobs.LONG, 2, 100);
+            simulation.run(pool, 300);
+            assertThat(jobs.kind(job)).isEqualTo(Kind.COMPLETED);
+        }
+    }
 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
@@ -33,9 +33,19 @@
         return id;
     }
 
+    CallerJobId submit(QueuePolicy policy, int tasks, long estimateMillis, long callerTimeoutMillis) {
+        CallerJobId id = new CallerJobId(String.format("%016x", ids.size() + 1));
+        submit(id, policy, tasks, estimateMillis, callerTimeoutMillis);
+        return id;
+    }
+
     void submit(CallerJobId id, QueuePolicy policy, int tasks, long estimateMillis) {
+        submit(id, policy, tasks, estimateMillis, 1_500);
+    }
+
+    private void submit(CallerJobId id, QueuePolicy policy, int tasks, long estimateMillis, long callerTimeoutMillis) {
         ids.add(id);
-        PooledJob job = new PooledJob(id, policy, "work", tasks, requirements(estimateMillis), 0, 1_500);
+        PooledJob job = new PooledJob(id, policy, "work", tasks, requirements(estimateMillis), 0, callerTimeoutMillis);
         sent.put(id, job);
         long submittedAtMillis = simulation.millis();
         pool.submit(job, recordEnd(job, submittedAtMillis));
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -21,6 +21,7 @@
 final class SimulatedServers implements ServerCommands, MonotonicClock {
     static final long ONE_WAY_LATENCY_MILLIS = 1;
     private static final String SERVICE = "service";
+    private static final long NEVER = -1;
 
     /** Fault that a start command triggers. */
     enum StartFault {
@@ -43,9 +44,12 @@
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+    private final List<Runnable> unreadReplies = new ArrayList<>();
     private long nowMillis = 1_000_000;
+    private long suspendedSinceMillis = NEVER;
     private long eventNumbers;
     private long starts;
+    private long startCommands;
 
     private record Event(long atMillis, long number, Runnable action) {}
 
@@ -143,10 +147,16 @@
         return nowMillis * 1_000_000;
     }
 
+    /** Returns the number of runs that servers have started. */
     long starts() {
         return starts;
     }
 
+    /** Returns the number of start commands, including those that servers have refused. */
+    long startCommands() {
+        return startCommands;
+    }
+
     Server add(String id, String kind, int cpuMillicores) {
         ServerDescriptor descriptor = new ServerDescriptor(
                 new ServerId(id),
@@ -176,12 +186,43 @@
         at(nowMillis + millis, action);
     }
 
+    /**
+     * Suspends the process that owns the pool: no tick is run and no reply is read. Afterwards the timers fire first, as
+     * in an event loop whose wait was interrupted, and then the replies that have arrived are read.
+     */
+    void suspend(ServerPool pool, long millis) {
+        suspendedSinceMillis = nowMillis;
+        advance(nowMillis + millis);
+        pool.tick();
+        suspendedSinceMillis = NEVER;
+        List<Runnable> arrived = List.copyOf(unreadReplies);
+        unreadReplies.clear();
+        arrived.forEach(Runnable::run);
+    }
+
+    /** Returns the time up to which the process has read all replies. */
+    long inputReadUntilMillis() {
+        return suspendedSinceMillis == NEVER ? nowMillis : suspendedSinceMillis;
+    }
+
+    private void deliver(Runnable reply) {
+        if (suspendedSinceMillis == NEVER) {
+            reply.run();
+        } else {
+            unreadReplies.add(reply);
+        }
+    }
+
     /** Advances virtual time, calling the tick of the pool every 20 ms. */
     void run(ServerPool pool, long millis) {
         long end = nowMillis + millis;
         for (long tick = nowMillis + 20; tick <= end; tick += 20) {
             at(tick, pool::tick);
         }
+        advance(end);
+    }
+
+    private void advance(long end) {
         while (!events.isEmpty() && events.peek().atMillis() <= end) {
             Event event = events.poll();
             nowMillis = event.atMillis();
@@ -196,20 +237,21 @@
             failNextStart = false;
             throw new IllegalStateException("simulated error in a start command");
         }
+        startCommands++;
         Server server = servers.get(descriptor.id());
         if (!server.reachable) {
-            after(command.timeoutMillis(), () -> onReply.accept(new Reply(Status.UNKNOWN, 0)));
+            after(command.timeoutMillis(), () -> deliver(() -> onReply.accept(new Reply(Status.UNKNOWN, 0))));
             return;
         }
         boolean replyLost = server.fault == StartFault.LATE || server.fault == StartFault.ANSWER_LOST;
         after(server.fault == StartFault.LATE ? 3_000 : ONE_WAY_LATENCY_MILLIS, () -> {
             Reply reply = handleStart(server, command);
             if (!replyLost) {
-                after(ONE_WAY_LATENCY_MILLIS, () -> onReply.accept(reply));
+                after(ONE_WAY_LATENCY_MILLIS, () -> deliver(() -> onReply.accept(reply)));
             }
         });
         if (replyLost) {
-            after(command.timeoutMillis(), () -> onReply.accept(new Reply(Status.UNKNOWN, 0)));
+            after(command.timeoutMillis(), () -> deliver(() -> onReply.accept(new Reply(Status.UNKNOWN, 0))));
         }
     }
 
@@ -260,18 +302,18 @@
     public void stop(ServerDescriptor descriptor, StopCommand command, Consumer<Reply> onReply) {
         Server server = servers.get(descriptor.id());
         if (!server.reachable) {
-            after(command.timeoutMillis(), () -> onReply.accept(new Reply(Status.UNKNOWN, 0)));
+            after(command.timeoutMillis(), () -> deliver(() -> onReply.accept(new Reply(Status.UNKNOWN, 0))));
             return;
         }
         after(ONE_WAY_LATENCY_MILLIS, () -> {
             if (command.fencingToken() < server.token) {
-                after(ONE_WAY_LATENCY_MILLIS, () -> onReply.accept(new Reply(Status.FENCED, nowMillis)));
+                after(ONE_WAY_LATENCY_MILLIS, () -> deliver(() -> onReply.accept(new Reply(Status.FENCED, nowMillis))));
                 return;
             }
             server.token = command.fencingToken();
             server.highestEnded.merge(command.run().task(), command.run().number(), Math::max);
             after(30, () -> server.end(command.run(), EndKind.STOPPED));
-            after(ONE_WAY_LATENCY_MILLIS, () -> onReply.accept(new Reply(Status.OK, nowMillis)));
+            after(ONE_WAY_LATENCY_MILLIS, () -> deliver(() -> onReply.accept(new Reply(Status.OK, nowMillis))));
         });
     }
 
@@ -279,13 +321,15 @@
     public void renew(ServerDescriptor descriptor, RenewCommand command, Consumer<RenewReply> onReply) {
         Server server = servers.get(descriptor.id());
         if (!server.reachable || server.renewalRepliesLost) {
-            after(command.timeoutMillis(), () -> onReply.accept(failure(Status.UNKNOWN)));
+            after(command.timeoutMillis(), () -> deliver(() -> onReply.accept(failure(Status.UNKNOWN))));
             return;
         }
         after(
                 ONE_WAY_LATENCY_MILLIS,
                 () -> handleRenew(
-                        server, command, reply -> after(ONE_WAY_LATENCY_MILLIS, () -> onReply.accept(reply))));
+                        server,
+                        command,
+                        reply -> after(ONE_WAY_LATENCY_MILLIS, () -> deliver(() -> onReply.accept(reply)))));
     }
 
     private void handleRenew(Server server, RenewCommand command, Consumer<RenewReply> onReply) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.core.ownership.FencingTokens;
@@ -16,6 +17,7 @@
 import org.banyanspoke.core.ownership.ZoneElection;
 import org.banyanspoke.core.pool.ServerPool;
 import org.banyanspoke.core.pool.SiteConfig;
+import org.banyanspoke.core.time.ElapsedClock;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.peer.FrameFilter;
@@ -65,12 +67,17 @@
     private final SettingsWatch settingsWatch;
     private final int metricsPort;
     private final MonotonicClock clock = System::nanoTime;
+    private final MonotonicClock elapsedClock = new ElapsedClock(clock, System::currentTimeMillis, randomOriginNanos());
+    private final InputProgress input = new InputProgress(clock, elapsedClock);
     private final ErrorGuard guard = new ErrorGuard(clock);
-    private final Vertx vertx = Vertx.vertx(new VertxOptions()
-            .setEventLoopPoolSize(1)
-            .setWorkerPoolSize(1)
-            .setInternalBlockingPoolSize(1)
-            .setBlockedThreadCheckInterval(3_600_000));
+    private final Vertx vertx = Vertx.builder()
+            .with(new VertxOptions()
+                    .setEventLoopPoolSize(1)
+                    .setWorkerPoolSize(1)
+                    .setInternalBlockingPoolSize(1)
+                    .setBlockedThreadCheckInterval(3_600_000))
+            .withTransport(new ObservedTransport(input))
+            .build();
     private final Context context = vertx.getOrCreateContext();
     private final PeerTransport transport;
     private final StoreClient store;
@@ -105,24 +112,29 @@
                 ((VertxInternal) vertx).nettyEventLoopGroup());
         this.store = new StoreClient(vertx, () -> settingsWatch.current().storeAddress());
         this.directory = new HostDirectory(settings.host());
+        JobContacts contacts = new JobContacts(settings.host(), elapsedClock, input::behindMillis);
         FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
         ServerPool pool = ServerPool.create(
                 new HttpServerCommands(vertx),
                 tokens,
                 settings.pool(),
                 clock,
+                input::readUntilNanos,
+                contacts,
                 new CompositePoolListener(List.of(new PoolEventLog(requestLog), metrics)));
         this.dispatcher = new ZoneDispatcher(
                 settings.host(),
                 settings.zone(),
                 settings.processorMillicores(),
                 pool,
+                contacts,
                 tokens,
                 registry,
                 clock,
                 System::currentTimeMillis);
-        HostFailureDetector contacts = new HostFailureDetector(clock, dispatcher::waitingHosts);
-        this.exchange = new HostStateExchange(transport, context, directory, contacts, dispatcher::state, guard);
+        HostFailureDetector failureDetector = new HostFailureDetector(clock, dispatcher::waitingHosts);
+        this.exchange = new HostStateExchange(
+                transport, context, directory, failureDetector, dispatcher::state, elapsedClock, guard);
         this.jobs = new JobForwarder(
                 settings.host(),
                 transport,
@@ -133,10 +145,16 @@
                 config,
                 new JobRouter(settings.zone()),
                 new EntryObserver(requestLog, metrics),
-                clock);
+                clock,
+                contacts,
+                input);
         this.callers = new CallerServer(vertx, jobs);
     }
 
+    private static long randomOriginNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(1 + new SecureRandom().nextInt(Integer.MAX_VALUE));
+    }
+
     /** Starts all components; returns before the first configuration has been read. */
     void start() throws IOException, InterruptedException {
         // Errors that no subscriber can receive any more end nothing but the work that raised them.
@@ -174,6 +192,7 @@
         metrics.gauge(
                 "entry.config_version",
                 () -> config.config().map(SiteConfig::version).orElse(0L));
+        metrics.gauge("input.behind_millis", input::behindMillis);
         metrics.gauge("peers.heard", () -> exchange.liveStates().size());
         metrics.gauge("dispatcher.round", () -> dispatcher.state().round());
         metrics.gauge(
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostStateExchange.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostStateExchange.java
@@ -2,15 +2,18 @@
 
 import io.vertx.core.Context;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.core.ownership.HostFailureDetector;
 import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.banyanspoke.peer.PeerReply;
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.generated.Frame;
+import org.banyanspoke.peer.generated.HostStateMessage;
 import org.jboss.logging.Logger;
 
 /** Exchanges host states with the other entry hosts. */
@@ -23,7 +26,9 @@
     private final HostDirectory directory;
     private final HostFailureDetector contacts;
     private final Supplier<HostState> ownState;
+    private final MonotonicClock elapsedClock;
     private final ErrorGuard guard;
+    private final Map<HostId, Long> clockReadings = new HashMap<>();
 
     HostStateExchange(
             PeerTransport transport,
@@ -31,17 +36,19 @@
             HostDirectory directory,
             HostFailureDetector contacts,
             Supplier<HostState> ownState,
+            MonotonicClock elapsedClock,
             ErrorGuard guard) {
         this.transport = transport;
         this.context = context;
         this.directory = directory;
         this.contacts = contacts;
         this.ownState = ownState;
+        this.elapsedClock = elapsedClock;
         this.guard = guard;
         transport.handle(Frame.BodyCase.HOST_STATE, ContextHandlers.runOn(context, (from, request) -> {
             directory.recordAddress(from.host(), from.address());
-            onState(PoolMessages.decode(request.getHostState()));
-            return Frame.newBuilder().setHostState(PoolMessages.encode(ownState.get()));
+            onState(request.getHostState());
+            return ownStateFrame();
         }));
     }
 
@@ -54,6 +61,11 @@
         return contacts.isAlive(host);
     }
 
+    /** Returns the time of another host's clock in the last state that was read from it; 0 if there was none. */
+    long clockReading(HostId host) {
+        return clockReadings.getOrDefault(host, 0L);
+    }
+
     /** Drops hosts that have exceeded the silence timeout, and requests the state of each host that is due. */
     void tick() {
         contacts.removeSilent(ownState.get())
@@ -75,16 +87,15 @@
 
     private void exchange(HostId host, String address) {
         contacts.recordRequest(host);
-        Frame.Builder request = Frame.newBuilder().setHostState(PoolMessages.encode(ownState.get()));
         var unused = transport
-                .request(address, request, REQUEST_TIMEOUT_MILLIS)
+                .request(address, ownStateFrame(), REQUEST_TIMEOUT_MILLIS)
                 .subscribe(
                         reply -> context.runOnContext(none -> guard.run("state of a host", () -> onReply(reply))),
                         error -> context.runOnContext(none -> onFailure(host, error)));
     }
 
     private void onReply(PeerReply reply) {
-        onState(PoolMessages.decode(reply.frame().getHostState()));
+        onState(reply.frame().getHostState());
     }
 
     private void onFailure(HostId host, Throwable error) {
@@ -94,7 +105,13 @@
                 .write();
     }
 
-    private void onState(HostState state) {
+    private Frame.Builder ownStateFrame() {
+        return Frame.newBuilder().setHostState(PoolMessages.encode(ownState.get(), elapsedClock.millis()));
+    }
+
+    private void onState(HostStateMessage message) {
+        HostState state = PoolMessages.decode(message);
+        clockReadings.put(state.host(), message.getSentMillis());
         if (contacts.recordState(state)) {
             LOG.event(Logger.Level.INFO, "entry host alive, state received")
                     .with("peer", state.host())
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/InputProgress.java
@@ -0,0 +1,189 @@
+package org.banyanspoke.host;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.Executor;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.daemon.logging.EventLog;
+import org.jboss.logging.Logger;
+
+/**
+ * Tells up to which time the event loop has read what has arrived at its sockets. After the process was suspended,
+ * timers may fire before the sockets are read, and a closed connection is detected one pass after the data that arrived
+ * before it. Used on the event loop only.
+ */
+final class InputProgress {
+    /** The event loop waits at most 60 ms for input; a slow host takes somewhat longer for a pass. */
+    private static final long BEHIND_MILLIS = 250;
+    /** Time for accepting the connections that arrived while the process was suspended, a few at a time. */
+    private static final long CATCH_UP_MILLIS = 500;
+
+    private static final EventLog LOG = EventLog.of(InputProgress.class);
+
+    private final MonotonicClock monotonicClock;
+    private final MonotonicClock elapsedClock;
+    private final Queue<PendingAction> actions = new ArrayDeque<>();
+    private Executor executor = Runnable::run;
+    /** Start of the last completed pass over the sockets. */
+    private long lastPassMonotonicNanos;
+
+    private long lastPassElapsedMillis;
+    /** Start of the pass before. */
+    private long readUntilMonotonicNanos;
+
+    private long readUntilElapsedMillis;
+    private long catchUpEndMillis;
+
+    /** An action that waits until the input is read that had arrived at a time of the elapsed clock. */
+    private record PendingAction(long arrivedMillis, Runnable action) {}
+
+    /**
+     * @param monotonicClock clock of the timers of this process
+     * @param elapsedClock clock that also counts the time for which the machine was suspended
+     */
+    InputProgress(MonotonicClock monotonicClock, MonotonicClock elapsedClock) {
+        this.monotonicClock = monotonicClock;
+        this.elapsedClock = elapsedClock;
+        lastPassMonotonicNanos = monotonicClock.nanos();
+        lastPassElapsedMillis = elapsedClock.millis();
+        readUntilMonotonicNanos = lastPassMonotonicNanos;
+        readUntilElapsedMillis = lastPassElapsedMillis;
+        catchUpEndMillis = readUntilElapsedMillis;
+    }
+
+    /** Returns the time up to which input has been read, on the clock of the timers, in nanoseconds. */
+    long readUntilNanos() {
+        return readUntilMonotonicNanos;
+    }
+
+    /** Returns how long ago the input that has been read arrived at the latest, including suspensions. */
+    long behindMillis() {
+        return elapsedClock.millis() - readUntilElapsedMillis;
+    }
+
+    /** Returns whether older input may be unread, because the process was suspended. */
+    boolean isBehind() {
+        return behindMillis() >= BEHIND_MILLIS;
+    }
+
+    /** Returns whether input that is read now may have arrived while the process was suspended. */
+    boolean isCatchingUp() {
+        return isBehind() || elapsedClock.millis() < catchUpEndMillis;
+    }
+
+    /** Returns whether all input has been read that had arrived at a time of the elapsed clock. */
+    boolean hasReadUntil(long elapsedMillis) {
+        return readUntilElapsedMillis >= elapsedMillis;
+    }
+
+    /** Returns the current time of the elapsed clock. */
+    long nowMillis() {
+        return elapsedClock.millis();
+    }
+
+    /** Runs an action on the event loop once all input has been read that has arrived by now. */
+    void afterReading(Runnable action) {
+        actions.add(new PendingAction(elapsedClock.millis(), action));
+        requestPass();
+    }
+
+    /** An event loop with a task does not wait for input in its next pass. */
+    private void requestPass() {
+        executor.execute(() -> {});
+    }
+
+    /** Records a completed pass over the sockets, which read at least what had arrived when it started. */
+    void recordPass(long startMonotonicNanos, long startElapsedMillis) {
+        long nowMillis = elapsedClock.millis();
+        long unreadMillis = nowMillis - lastPassElapsedMillis;
+        if (unreadMillis >= BEHIND_MILLIS) {
+            logStandstill(unreadMillis, nowMillis);
+            catchUpEndMillis = nowMillis + CATCH_UP_MILLIS;
+        }
+        readUntilMonotonicNanos = lastPassMonotonicNanos;
+        readUntilElapsedMillis = lastPassElapsedMillis;
+        lastPassMonotonicNanos = startMonotonicNanos;
+        lastPassElapsedMillis = startElapsedMillis;
+        if (!actions.isEmpty()) {
+            runDueActions();
+        }
+    }
+
+    private void logStandstill(long unreadMillis, long nowMillis) {
+        if (nowMillis >= catchUpEndMillis) {
+            LOG.event(Logger.Level.WARN, "no input was read for some time")
+                    .with("unreadMillis", unreadMillis)
+                    .write();
+        }
+    }
+
+    private void runDueActions() {
+        while (!actions.isEmpty() && hasReadUntil(actions.peek().arrivedMillis())) {
+            executor.execute(actions.remove().action());
+        }
+        if (!actions.isEmpty()) {
+            requestPass();
+        }
+    }
+
+    /** Returns a factory for the event loop whose passes are recorded here. */
+    IoHandlerFactory observe(IoHandlerFactory factory) {
+        return eventLoop -> {
+            executor = eventLoop;
+            return new ObservedHandler(factory.newHandler(eventLoop));
+        };
+    }
+
+    /** Delegates to a handler of an event loop and records its passes. */
+    private final class ObservedHandler implements IoHandler {
+        private final IoHandler handler;
+
+        private ObservedHandler(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public int run(IoHandlerContext context) {
+            long startMonotonicNanos = monotonicClock.nanos();
+            long startElapsedMillis = elapsedClock.millis();
+            int handled = handler.run(context);
+            recordPass(startMonotonicNanos, startElapsedMillis);
+            return handled;
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return handler.isCompatible(handleType);
+        }
+    }
+}
--- /dev/null
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
@@ -0,0 +1,186 @@
+package org.banyanspoke.host;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.core.pool.CallerContact;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.time.MonotonicClock;
+
+/**
+ * Records which entry hosts wait for the jobs of this dispatcher, and when each was last known to do so. A contact that
+ * is refreshed by a check counts from the time at which the check was sent, so a reply that was held up on its way
+ * proves nothing about the time since. Not thread safe.
+ */
+final class JobContacts implements CallerContact {
+    /** Older than any contact. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    /** Age at which a contact is checked; leaves time for a second check before starts have to wait. */
+    private static final long CHECK_AGE_MILLIS = 200;
+    /** Age at which a contact is included in a check that another contact has caused, which saves a later check. */
+    private static final long INCLUDE_AGE_MILLIS = 100;
+    /** A contact of this age may delay the start of tasks. */
+    private static final long STALE_AGE_MILLIS = 2 * CHECK_AGE_MILLIS;
+    /** Period of checks without reply. */
+    private static final long CHECK_RETRY_MILLIS = 200;
+
+    private final HostId self;
+    private final MonotonicClock elapsedClock;
+    private final LongSupplier ownInputAgeMillis;
+    private final Map<CallerJobId, Map<HostId, Contact>> contactsByJob = new HashMap<>();
+    private final Map<HostId, Long> lastCheckMillis = new HashMap<>();
+
+    private static final class Contact {
+        private final long addedMillis;
+        private long confirmedMillis;
+
+        private Contact(long addedMillis, long confirmedMillis) {
+            this.addedMillis = addedMillis;
+            this.confirmedMillis = confirmedMillis;
+        }
+    }
+
+    /**
+     * A question to an entry host for which of its jobs it still waits.
+     *
+     * @param host the entry host
+     * @param jobs its jobs whose contact has to be refreshed
+     * @param sentMillis time of the question
+     */
+    record Check(HostId host, List<CallerJobId> jobs, long sentMillis) {}
+
+    /**
+     * @param self this host, whose own callers' connections end here
+     * @param elapsedClock clock that also counts the time for which the machine was suspended
+     * @param ownInputAgeMillis how long ago this process last read the connections of its callers, in milliseconds
+     */
+    JobContacts(HostId self, MonotonicClock elapsedClock, LongSupplier ownInputAgeMillis) {
+        this.self = self;
+        this.elapsedClock = elapsedClock;
+        this.ownInputAgeMillis = ownInputAgeMillis;
+    }
+
+    /**
+     * Records that an entry host has sent a job.
+     *
+     * @param knownMillis time of this host's clock that the entry host had read when it sent the job; 0 if it had read none
+     */
+    void add(CallerJobId job, HostId host, long knownMillis) {
+        long nowMillis = elapsedClock.millis();
+        // A time of another process's clock may be in the future.
+        boolean valid = knownMillis > 0 && knownMillis <= nowMillis;
+        contactsByJob
+                .computeIfAbsent(job, key -> new LinkedHashMap<>())
+                .put(host, new Contact(nowMillis, valid ? knownMillis : NEVER));
+    }
+
+    /** Removes a job that has ended. */
+    void remove(CallerJobId job) {
+        contactsByJob.remove(job);
+    }
+
+    /** Removes an entry host that no longer waits for a job. Returns whether it was the last one. */
+    boolean remove(CallerJobId job, HostId host) {
+        Map<HostId, Contact> contacts = contactsByJob.get(job);
+        if (contacts == null || contacts.remove(host) == null || !contacts.isEmpty()) {
+            return false;
+        }
+        contactsByJob.remove(job);
+        return true;
+    }
+
+    /** Returns the entry hosts that wait for jobs. */
+    Set<HostId> hosts() {
+        Set<HostId> all = new HashSet<>();
+        contactsByJob.values().forEach(contacts -> all.addAll(contacts.keySet()));
+        return all;
+    }
+
+    /** Returns the jobs that an entry host waits for. */
+    List<CallerJobId> jobsOf(HostId host) {
+        return jobsOf(host, Long.MIN_VALUE);
+    }
+
+    @Override
+    public long ageMillis(CallerJobId job) {
+        long ageMillis = Long.MAX_VALUE;
+        long nowMillis = elapsedClock.millis();
+        for (Map.Entry<HostId, Contact> each :
+                contactsByJob.getOrDefault(job, Map.of()).entrySet()) {
+            ageMillis = Math.min(ageMillis, ageMillis(each.getKey(), each.getValue(), nowMillis));
+        }
+        return ageMillis;
+    }
+
+    private long ageMillis(HostId host, Contact contact, long nowMillis) {
+        return host.equals(self) ? ownInputAgeMillis.getAsLong() : nowMillis - contact.confirmedMillis;
+    }
+
+    /** Returns whether the contact with the entry hosts of a job has to be checked. */
+    boolean isCheckDue(CallerJobId job) {
+        return ageMillis(job) >= CHECK_AGE_MILLIS;
+    }
+
+    /** Returns whether one of these jobs may have waited for a contact. */
+    boolean hasStale(Collection<CallerJobId> jobs) {
+        return jobs.stream().anyMatch(job -> ageMillis(job) >= STALE_AGE_MILLIS);
+    }
+
+    /** Returns the checks that are due now, and counts them as sent. */
+    List<Check> takeDueChecks() {
+        long nowMillis = elapsedClock.millis();
+        List<Check> checks = new ArrayList<>();
+        for (HostId host : hosts()) {
+            boolean awaitsReply = nowMillis - lastCheckMillis.getOrDefault(host, NEVER) < CHECK_RETRY_MILLIS;
+            if (!host.equals(self)
+                    && !awaitsReply
+                    && !jobsOf(host, CHECK_AGE_MILLIS).isEmpty()) {
+                lastCheckMillis.put(host, nowMillis);
+                checks.add(new Check(host, jobsOf(host, INCLUDE_AGE_MILLIS), nowMillis));
+            }
+        }
+        return checks;
+    }
+
+    private List<CallerJobId> jobsOf(HostId host, long minAgeMillis) {
+        long nowMillis = elapsedClock.millis();
+        List<CallerJobId> jobs = new ArrayList<>();
+        contactsByJob.forEach((job, contacts) -> {
+            Contact contact = contacts.get(host);
+            if (contact != null && nowMillis - contact.confirmedMillis >= minAgeMillis) {
+                jobs.add(job);
+            }
+        });
+        return jobs;
+    }
+
+    /**
+     * Applies the reply to a check.
+     *
+     * @param awaited the jobs that the entry host still waits for
+     * @return the jobs that it no longer waits for; they are not removed
+     */
+    List<CallerJobId> apply(Check check, Set<CallerJobId> awaited) {
+        lastCheckMillis.remove(check.host());
+        List<CallerJobId> released = new ArrayList<>();
+        for (CallerJobId job : check.jobs()) {
+            Contact contact = contactsByJob.getOrDefault(job, Map.of()).get(check.host());
+            if (contact == null || contact.addedMillis > check.sentMillis()) {
+                continue;
+            }
+            if (awaited.contains(job)) {
+                contact.confirmedMillis = Math.max(contact.confirmedMillis, check.sentMillis());
+            } else {
+                released.add(job);
+            }
+        }
+        return released;
+    }
+}
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -51,6 +51,7 @@
     private final JobRouter router;
     private final EntryObserver observer;
     private final MonotonicClock clock;
+    private final JobContactExchange contactExchange;
     private final Map<CallerJobId, OpenJob> open = new HashMap<>();
     private final Set<OpenJob> waiting = new LinkedHashSet<>();
     private boolean draining;
@@ -65,7 +66,9 @@
             ConfigWatch config,
             JobRouter router,
             EntryObserver observer,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            JobContacts contacts,
+            InputProgress input) {
         this.host = host;
         this.transport = transport;
         this.context = context;
@@ -76,6 +79,8 @@
         this.router = router;
         this.observer = observer;
         this.clock = clock;
+        this.contactExchange =
+                new JobContactExchange(transport, context, directory, contacts, dispatcher, input, this::isAwaited);
         transport.handle(Frame.BodyCase.POOL_JOB, PeerHandler.cancelledOnDisconnect(this::onPeerJob));
         transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, ContextHandlers.runOn(context, this::onPeerCancel));
     }
@@ -118,8 +123,15 @@
         place(openJob, NO_DISPATCHER);
     }
 
-    /** Retries the placement of jobs that wait for a dispatcher. */
+    /** Returns whether a caller waits for a job that was sent to a dispatcher. */
+    private boolean isAwaited(CallerJobId id, HostId dispatcherHost) {
+        OpenJob job = open.get(id);
+        return job != null && !job.cancelled() && job.isDispatchedBy(dispatcherHost);
+    }
+
+    /** Retries the placement of jobs that wait for a dispatcher, and checks the contact with the callers of jobs here. */
     void tick() {
+        contactExchange.tick();
         for (OpenJob each : List.copyOf(waiting)) {
             waiting.remove(each);
             place(each, NO_DISPATCHER);
@@ -146,7 +158,7 @@
     private void send(OpenJob job, HostId to) {
         PooledJob aged = job.placement().job();
         if (to.equals(host)) {
-            dispatcher.submit(host, aged, outcome -> onOutcome(job, outcome));
+            dispatcher.submit(host, aged, 0, outcome -> onOutcome(job, outcome));
         } else {
             forward(to, aged, outcome -> onOutcome(job, outcome));
         }
@@ -179,7 +191,7 @@
     }
 
     private void forward(HostId to, PooledJob job, Consumer<JobOutcome> ended) {
-        Frame.Builder request = Frame.newBuilder().setPoolJob(PoolMessages.encode(job));
+        Frame.Builder request = Frame.newBuilder().setPoolJob(PoolMessages.encode(job, exchange.clockReading(to)));
         long remainingMillis = Math.max(0, job.callerTimeoutMillis() - job.ageMillis());
         var unused = transport
                 .request(directory.address(to), request, remainingMillis + REPLY_MARGIN_MILLIS)
@@ -241,10 +253,11 @@
                     if (emitter.isDisposed()) {
                         return;
                     }
-                    dispatcher.submit(from.host(), job, outcome -> {
+                    dispatcher.submit(from.host(), job, request.getPoolJob().getDispatcherMillis(), outcome -> {
                         ended.set(true);
                         emitter.onSuccess(Frame.newBuilder().setPoolJobReply(PoolMessages.encode(outcome)));
                     });
+                    contactExchange.checkIfDue(job.id());
                 }))
                 .doOnDispose(() -> context.runOnContext(unused -> {
                     if (!ended.get()) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -1,5 +1,6 @@
 package org.banyanspoke.host;
 
+import java.util.Collection;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.banyanspoke.api.ids.HostId;
@@ -14,6 +15,7 @@
 import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.peer.generated.Frame;
 import org.banyanspoke.peer.generated.HostStateMessage;
+import org.banyanspoke.peer.generated.PoolJobCheck;
 import org.banyanspoke.peer.generated.PoolJobReply;
 import org.banyanspoke.peer.generated.PoolJobRequest;
 
@@ -21,7 +23,12 @@
 final class PoolMessages {
     private PoolMessages() {}
 
-    static HostStateMessage encode(HostState state) {
+    /**
+     * Encodes a state.
+     *
+     * @param sentMillis the sender's clock now
+     */
+    static HostStateMessage encode(HostState state, long sentMillis) {
         HostStateMessage.Builder message = HostStateMessage.newBuilder()
                 .setHost(state.host().value())
                 .setZone(state.zone().value())
@@ -34,7 +41,8 @@
                 .setQueuedCoreMillis(state.load().queuedCoreMillis())
                 .setQueuedJobs(state.load().queuedJobs())
                 .setQueuedMillicores(state.load().queuedMillicores())
-                .setRunMillis(state.load().meanRunMillis());
+                .setRunMillis(state.load().meanRunMillis())
+                .setSentMillis(sentMillis);
         state.heldServers().forEach(server -> message.addHeldServers(server.value()));
         return message.build();
     }
@@ -59,7 +67,12 @@
                         message.getRunMillis()));
     }
 
-    static PoolJobRequest encode(PooledJob job) {
+    /**
+     * Encodes a job.
+     *
+     * @param dispatcherMillis the newest time of the dispatcher's clock that this host has read; 0 if none
+     */
+    static PoolJobRequest encode(PooledJob job, long dispatcherMillis) {
         TaskRequirements shape = job.requirements();
         return PoolJobRequest.newBuilder()
                 .setJob(job.id().value())
@@ -80,6 +93,7 @@
                 .setMaxPerServer(shape.maxPerServer())
                 .setAgeMillis(job.ageMillis())
                 .setPatienceMillis(job.callerTimeoutMillis())
+                .setDispatcherMillis(dispatcherMillis)
                 .build();
     }
 
@@ -107,6 +121,26 @@
                 message.getPatienceMillis());
     }
 
+    static PoolJobCheck encode(Collection<CallerJobId> jobs) {
+        PoolJobCheck.Builder message = PoolJobCheck.newBuilder();
+        jobs.forEach(job -> message.addJob(job.value()));
+        return message.build();
+    }
+
+    /**
+     * Decodes a check of jobs or the reply to one.
+     *
+     * @throws IllegalArgumentException if the frame has another type or a job id is invalid
+     */
+    static Set<CallerJobId> decodeCheck(Frame frame) {
+        if (frame.getBodyCase() != Frame.BodyCase.POOL_JOB_CHECK) {
+            throw new IllegalArgumentException("frame of type " + frame.getBodyCase() + " instead of a check of jobs");
+        }
+        return frame.getPoolJobCheck().getJobList().stream()
+                .map(CallerJobId::new)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     static PoolJobReply encode(JobOutcome outcome) {
         return PoolJobReply.newBuilder()
                 .setOutcome(PoolJobReply.Outcome.valueOf(outcome.kind().name()))
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -43,11 +41,11 @@
     private final ZoneId zone;
     private final long processorMillicores;
     private final ServerPool pool;
+    private final JobContacts contacts;
     private final FencingTokens tokens;
     private final ServerRegistry registry;
     private final MonotonicClock clock;
     private final LongSupplier wallClockMillis;
-    private final Map<CallerJobId, Set<HostId>> waitingHosts = new HashMap<>();
     private long registration;
     private long round;
     private boolean draining;
@@ -62,6 +60,7 @@
             ZoneId zone,
             long processorMillicores,
             ServerPool pool,
+            JobContacts contacts,
             FencingTokens tokens,
             ServerRegistry registry,
             MonotonicClock clock,
@@ -70,6 +69,7 @@
         this.zone = zone;
         this.processorMillicores = processorMillicores;
         this.pool = pool;
+        this.contacts = contacts;
         this.tokens = tokens;
         this.registry = registry;
         this.clock = clock;
@@ -121,9 +121,7 @@
 
     /** Returns the entry hosts that wait for the outcome of jobs in this pool. */
     Set<HostId> waitingHosts() {
-        Set<HostId> all = new HashSet<>();
-        waitingHosts.values().forEach(all::addAll);
-        return all;
+        return contacts.hosts();
     }
 
     /** Applies the result of the election, and assigns the registered servers to the pool. */
@@ -220,11 +218,10 @@
     void tick(Predicate<HostId> isAlive) {
         detectPause();
         recordTick(clock.millis(), wallClockMillis.getAsLong());
-        for (Map.Entry<CallerJobId, Set<HostId>> each : List.copyOf(waitingHosts.entrySet())) {
-            each.getValue().removeIf(waiting -> !waiting.equals(host) && !isAlive.test(waiting));
-            if (each.getValue().isEmpty()) {
-                waitingHosts.remove(each.getKey());
-                pool.cancel(each.getKey(), "no contact with the caller's entry host");
+        for (HostId waiting : contacts.hosts()) {
+            if (!waiting.equals(host) && !isAlive.test(waiting)) {
+                contacts.jobsOf(waiting)
+                        .forEach(job -> cancel(waiting, job, "no contact with the caller's entry host"));
             }
         }
         if (round > 0) {
@@ -258,8 +255,11 @@
     /**
      * Accepts a job of an entry host. Refuses jobs that may have been buffered in a connection while this process was
      * paused: their entry hosts may have reported them as lost, and the callers may have sent them elsewhere.
+     *
+     * @param knownMillis time of this host's clock that the entry host had read when it sent the job; 0 if it had read
+     *     none or is this host
      */
-    void submit(HostId from, PooledJob job, Consumer<JobOutcome> onEnded) {
+    void submit(HostId from, PooledJob job, long knownMillis, Consumer<JobOutcome> onEnded) {
         if (!dispatching()) {
             onEnded.accept(JobOutcome.refused("this host does not dispatch", 1));
             return;
@@ -269,11 +269,11 @@
             onEnded.accept(JobOutcome.refused("this host was paused", 1));
             return;
         }
-        waitingHosts.computeIfAbsent(job.id(), key -> new HashSet<>()).add(from);
+        contacts.add(job.id(), from, knownMillis);
         AtomicBoolean ended = new AtomicBoolean();
         Consumer<JobOutcome> endOnce = outcome -> {
             if (ended.compareAndSet(false, true)) {
-                waitingHosts.remove(job.id());
+                contacts.remove(job.id());
                 onEnded.accept(outcome);
             }
         };
@@ -303,10 +303,23 @@
 
     /** Removes an entry host from those that wait for a job; cancels the job if none is left. */
     void cancel(HostId from, CallerJobId job, String reason) {
-        Set<HostId> waiting = waitingHosts.get(job);
-        if (waiting != null && waiting.remove(from) && waiting.isEmpty()) {
-            waitingHosts.remove(job);
+        if (contacts.remove(job, from)) {
             pool.cancel(job, reason);
         }
     }
+
+    /**
+     * Applies the reply of an entry host to a check of its jobs.
+     *
+     * @param awaited the jobs that it still waits for; the others are cancelled
+     */
+    void onContact(JobContacts.Check check, Set<CallerJobId> awaited) {
+        boolean delayedStarts = contacts.hasStale(check.jobs());
+        for (CallerJobId released : contacts.apply(check, awaited)) {
+            cancel(check.host(), released, "the entry host no longer waits for the job");
+        }
+        if (delayedStarts && round > 0) {
+            pool.tick();
+        }
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -31,7 +31,7 @@
                 new TaskRequirements(6_800, 64, 1, 100, "label", "rack", 2),
                 12,
                 1_500);
-        assertThat(PoolMessages.decode(PoolMessages.encode(job))).isEqualTo(job);
+        assertThat(PoolMessages.decode(PoolMessages.encode(job, 0))).isEqualTo(job);
     }
 
     @Test
@@ -45,7 +45,7 @@
                 9,
                 Set.of(new ServerId("s1")),
                 new PoolLoad(4, 3, 2, 1, 7, 8));
-        assertThat(PoolMessages.decode(PoolMessages.encode(state))).isEqualTo(state);
+        assertThat(PoolMessages.decode(PoolMessages.encode(state, 0))).isEqualTo(state);
     }
 
     @Test
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -38,11 +38,14 @@
     private final RecordingPool pool = new RecordingPool();
     private long nowMillis = 5_000;
     private long wallClockMillis = 1_800_000_000_000L;
+    private final JobContacts contacts =
+            new JobContacts(new HostId("weak"), () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> 0);
     private final ZoneDispatcher dispatcher = new ZoneDispatcher(
             new HostId("weak"),
             ZONE,
             270,
             pool,
+            contacts,
             new FencingTokens(() -> 1_800_000_000_000L),
             registry,
             () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
@@ -129,7 +132,7 @@
                 new TaskRequirements(1, 1, 0, 60, "", "", 0),
                 0,
                 1_500);
-        dispatcher.submit(from, job, outcome -> kind[0] = outcome.kind());
+        dispatcher.submit(from, job, nowMillis, outcome -> kind[0] = outcome.kind());
         return kind[0];
     }
 
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -70,6 +70,7 @@
                 grace_s = 6
                 max_hold_ms = 1000
                 far_factor = 2
+                resend_ms = 1300
                 [platform]
                 address = "%s"
                 """.formatted(
@@ -143,9 +144,20 @@
 
     /** Submits a job whose tasks run for {@code runMillis} each, with a deadline of 3 s. */
     public CompletableFuture<HttpResponse<String>> submit(String job, int tasks, int cpuMillicores, long runMillis) {
+        return submit(job, tasks, cpuMillicores, runMillis, 3_000, 20_000);
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @param deadlineMillis deadline that the request states
+     * @param patienceMillis time after which the caller closes its connection
+     */
+    public CompletableFuture<HttpResponse<String>> submit(
+            String job, int tasks, int cpuMillicores, long runMillis, long deadlineMillis, long patienceMillis) {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + "/q/" + job))
-                .timeout(Duration.ofSeconds(20))
-                .header("X-Banyanspoke-Deadline-Ms", "3000")
+                .timeout(Duration.ofMillis(patienceMillis))
+                .header("X-Banyanspoke-Deadline-Ms", Long.toString(deadlineMillis))
                 .POST(HttpRequest.BodyPublishers.ofString(jobBody(tasks, cpuMillicores, runMillis)))
                 .build();
         return http.sendAsync(request, BodyHandlers.ofString());
