A woken entry host sends requests on once their connections are read again

Cause: a request and the close of its connection are both in the socket after a suspension; one pass of the event loop reads the request, the next one the close. In between the request counted as new. Ruled out: a pause of the dispatcher (none in its log); jobs sent before the suspension (sent after SIGSTOP).

Change: after a suspension, and for 0.5 s while waiting connections are accepted, a job is placed only after two passes over the sockets that started after its request was read. The same holds for another placement after a refusal. Requests of callers that still wait are served.

Failed before: JobForwarderTest.AfterASuspension, 4 of 5 cases, without the guard; SuspendedHostTest.AnEntryHost.dispatchesNoRequestWhoseCallerHasLeft on ("runs twice at the same time", 4 tasks).

SuspendedHostTest, PlatformProcessesTest, FaultSoakTest, JobForwarderTest green, 25 tests.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -38,6 +38,8 @@
     /** A lost dispatcher is replaced within this time. */
     private static final long NO_DISPATCHER_RETRY_MILLIS = 1_000;
 
+    private static final JobOutcome CANCELLED =
+            JobOutcome.refused("the job was cancelled before it was sent to a dispatcher", 0);
     private static final JobOutcome NO_DISPATCHER =
             JobOutcome.refused("no dispatcher is available", NO_DISPATCHER_RETRY_MILLIS);
 
@@ -51,6 +53,7 @@
     private final JobRouter router;
     private final EntryObserver observer;
     private final MonotonicClock clock;
+    private final InputProgress input;
     private final JobContactExchange contactExchange;
     private final Map<CallerJobId, OpenJob> open = new HashMap<>();
     private final Set<OpenJob> waiting = new LinkedHashSet<>();
@@ -79,6 +82,7 @@
         this.router = router;
         this.observer = observer;
         this.clock = clock;
+        this.input = input;
         this.contactExchange =
                 new JobContactExchange(transport, context, directory, contacts, dispatcher, input, this::isAwaited);
         transport.handle(Frame.BodyCase.POOL_JOB, PeerHandler.cancelledOnDisconnect(this::onPeerJob));
@@ -118,7 +122,7 @@
 
     @Override
     public void submit(PooledJob job, Consumer<JobOutcome> onEnded) {
-        OpenJob openJob = new OpenJob(job, new JobPlacement(job, router, clock), onEnded);
+        OpenJob openJob = new OpenJob(job, new JobPlacement(job, router, clock), input.nowMillis(), onEnded);
         open.put(job.id(), openJob);
         place(openJob, NO_DISPATCHER);
     }
@@ -139,11 +143,30 @@
     }
 
     /**
-     * Sends a job to the next dispatcher.
+     * Sends a job to the next dispatcher, once it is known that its caller has not left while this process was
+     * suspended.
      *
      * @param fallback the answer if there is no dispatcher left to try
      */
     private void place(OpenJob job, JobOutcome fallback) {
+        if (job.cancelled()) {
+            end(job, CANCELLED);
+        } else if (isCallerUncertain(job)) {
+            input.afterReading(() -> context.runOnContext(unused -> place(job, fallback)));
+        } else {
+            sendToNextDispatcher(job, fallback);
+        }
+    }
+
+    /**
+     * Returns whether the caller may have closed its connection without this process having read that. It may then have
+     * sent the job to another host.
+     */
+    private boolean isCallerUncertain(OpenJob job) {
+        return input.isBehind() || (input.isCatchingUp() && !input.hasReadUntil(job.receivedMillis()));
+    }
+
+    private void sendToNextDispatcher(OpenJob job, JobOutcome fallback) {
         Optional<HostState> target = job.placement().nextDispatcher(dispatchers());
         if (target.isPresent()) {
             job.setDispatcher(target.get());
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/OpenJob.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/OpenJob.java
@@ -13,13 +13,19 @@
 final class OpenJob {
     private final PooledJob job;
     private final JobPlacement placement;
+    private final long receivedMillis;
     private final Consumer<JobOutcome> onEnded;
     private Optional<HostState> dispatcher = Optional.empty();
     private boolean cancelled;
 
-    OpenJob(PooledJob job, JobPlacement placement, Consumer<JobOutcome> onEnded) {
+    /**
+     * @param receivedMillis time of the elapsed clock at which the request was read
+     * @param onEnded receives the answer for the caller
+     */
+    OpenJob(PooledJob job, JobPlacement placement, long receivedMillis, Consumer<JobOutcome> onEnded) {
         this.job = job;
         this.placement = placement;
+        this.receivedMillis = receivedMillis;
         this.onEnded = onEnded;
     }
 
@@ -35,6 +41,11 @@
         return placement;
     }
 
+    /** Returns the time of the elapsed clock at which the request was read. */
+    long receivedMillis() {
+        return receivedMillis;
+    }
+
     /** Returns the state of the last dispatcher the job was sent to, as known at that time; empty if there was none. */
     Optional<HostState> dispatcher() {
         return dispatcher;
--- /dev/null
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -0,0 +1,223 @@
+package org.banyanspoke.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.ownership.FencingTokens;
+import org.banyanspoke.core.ownership.HostFailureDetector;
+import org.banyanspoke.core.ownership.JobRouter;
+import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolLoad;
+import org.banyanspoke.core.pool.PooledJob;
+import org.banyanspoke.core.pool.QueuePolicy;
+import org.banyanspoke.core.pool.ServerDescriptor;
+import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.TaskRequirements;
+import org.banyanspoke.core.time.MonotonicClock;
+import org.banyanspoke.peer.FrameFilter;
+import org.banyanspoke.peer.PeerTransport;
+import org.banyanspoke.peer.TransportLimits;
+import org.banyanspoke.platform.StoreClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a job that is given to a dispatcher although its caller has left while the host was suspended. */
+class JobForwarderTest {
+    private static final HostId SELF = new HostId("self");
+    private static final ZoneId ZONE = new ZoneId("a");
+    private static final CallerJobId JOB = new CallerJobId("00000000000000aa");
+
+    private long nowMillis = 100_000;
+    private final MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMillis);
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+    private final InputProgress input = new InputProgress(clock, clock);
+    private final RecordingPool pool = new RecordingPool();
+    private final List<JobOutcome> outcomes = new ArrayList<>();
+    private final JobForwarder forwarder = newForwarder();
+
+    /** Records the submitted jobs. */
+    private static final class RecordingPool implements ServerPool {
+        private final List<CallerJobId> submitted = new ArrayList<>();
+
+        @Override
+        public void assign(Collection<ServerDescriptor> servers) {}
+
+        @Override
+        public void submit(PooledJob job, Consumer<JobOutcome> onEnded) {
+            submitted.add(job.id());
+        }
+
+        @Override
+        public void cancel(CallerJobId id, String reason) {}
+
+        @Override
+        public void release(String reason) {}
+
+        @Override
+        public void tick() {}
+
+        @Override
+        public PoolLoad load() {
+            return new PoolLoad(16_000, 16_000, 0, 0, 0, 0);
+        }
+
+        @Override
+        public boolean isIdle() {
+            return true;
+        }
+
+        @Override
+        public boolean isIdle(ServerId server) {
+            return true;
+        }
+    }
+
+    private JobForwarder newForwarder() {
+        PeerTransport transport = new PeerTransport(
+                SELF,
+                new Incarnation(1),
+                new TransportLimits(1_000_000, 1_000_000, 500, 300, 60_000),
+                FrameFilter.NONE);
+        HostDirectory directory = new HostDirectory(SELF);
+        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L);
+        JobContacts contacts = new JobContacts(SELF, clock, input::behindMillis);
+        ServerRegistry registry = new ServerRegistry(clock);
+        registry.onAll(List.of(new StoreClient.Entry(
+                "i-1",
+                ("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"state\":\"ready\","
+                                + "\"capacity\":{\"cpu\":16000,\"mem_mb\":1000}}")
+                        .getBytes(StandardCharsets.UTF_8))));
+        ZoneDispatcher dispatcher = new ZoneDispatcher(
+                SELF, ZONE, 1_000, pool, contacts, tokens, registry, clock, () -> 1_800_000_000_000L + nowMillis);
+        dispatcher.setRegistration(1);
+        dispatcher.reconcile(List.of());
+        HostStateExchange exchange = new HostStateExchange(
+                transport,
+                context,
+                directory,
+                new HostFailureDetector(clock, dispatcher::waitingHosts),
+                dispatcher::state,
+                clock,
+                new ErrorGuard(clock));
+        return new JobForwarder(
+                SELF,
+                transport,
+                context,
+                directory,
+                exchange,
+                dispatcher,
+                new ConfigWatch(),
+                new JobRouter(ZONE),
+                new EntryObserver(new RequestLog(clock), new HostMetrics()),
+                clock,
+                contacts,
+                input);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private void pass(long millis) throws Exception {
+        long startNanos = clock.nanos();
+        long startMillis = nowMillis;
+        nowMillis += millis;
+        input.recordPass(startNanos, startMillis);
+        // The actions of the pass run on the context.
+        CompletableFuture<Void> ran = new CompletableFuture<>();
+        context.runOnContext(unused -> ran.complete(null));
+        ran.get(10, TimeUnit.SECONDS);
+    }
+
+    private void submit() {
+        PooledJob job = new PooledJob(
+                JOB,
+                new QueuePolicy("q", "s", 0, 3, 1.6, 60),
+                "",
+                1,
+                new TaskRequirements(1_000, 1, 0, 900, "", "", 0),
+                0,
+                5_000);
+        forwarder.submit(job, outcomes::add);
+    }
+
+    @Test
+    void givesAJobToTheDispatcherAtOnce() throws Exception {
+        pass(20);
+        pass(20);
+        submit();
+        assertThat(pool.submitted).containsExactly(JOB);
+    }
+
+    /** Review case 2: such requests were sent to the dispatcher of another zone beside the callers' next attempts. */
+    @Nested
+    class AfterASuspension {
+        @BeforeEach
+        void suspendWhileWaitingForInput() throws Exception {
+            pass(20);
+            pass(20);
+            pass(3_300);
+        }
+
+        @Test
+        void aRequestWaitsUntilItsConnectionHasBeenReadAgain() throws Exception {
+            submit();
+            pass(1);
+            assertThat(pool.submitted).isEmpty();
+            pass(1);
+            assertThat(pool.submitted).containsExactly(JOB);
+        }
+
+        @Test
+        void aRequestWhoseCallerHasLeftIsNotDispatched() throws Exception {
+            submit();
+            pass(1);
+            forwarder.cancel(JOB, "the caller closed the connection");
+            pass(1);
+            pass(1);
+            assertThat(pool.submitted).isEmpty();
+            assertThat(outcomes).hasSize(1).allMatch(outcome -> outcome.kind() == JobOutcome.Kind.REFUSED);
+            assertThat(forwarder.openJobs()).isZero();
+        }
+
+        @Test
+        void aRequestOnAConnectionThatIsAcceptedLaterWaitsToo() throws Exception {
+            pass(1);
+            pass(1);
+            submit();
+            assertThat(pool.submitted).isEmpty();
+            pass(1);
+            pass(1);
+            assertThat(pool.submitted).containsExactly(JOB);
+        }
+
+        @Test
+        void aRequestWaitsThroughAnotherSuspension() throws Exception {
+            submit();
+            pass(1);
+            pass(2_000);
+            assertThat(pool.submitted).isEmpty();
+            pass(1);
+            assertThat(pool.submitted).isEmpty();
+            pass(1);
+            assertThat(pool.submitted).containsExactly(JOB);
+        }
+    }
+}
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/SuspendedHostTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/SuspendedHostTest.java
@@ -153,4 +153,52 @@
             callers.join();
         }
     }
+
+    /** An entry host of zone a that does not dispatch. */
+    @Nested
+    class AnEntryHost {
+        private static final long DEADLINE_MILLIS = 1_500;
+        private static final int JOBS = 4;
+
+        private HostUnderTest dispatcher;
+        private HostUnderTest entryHost;
+
+        @BeforeEach
+        void startTwoZones() throws Exception {
+            addServers("a", 4);
+            addServers("b", 4);
+            dispatcher = startHost("dispatcher", "a", 2.0);
+            entryHost = startHost("entry", "a", 0.5);
+            startHost("other", "b", 1.0);
+            awaitAllServersClaimed();
+        }
+
+        private void sendWhileSuspended(long millis) throws Exception {
+            entryHost.signal("STOP");
+            for (int i = 0; i < JOBS; i++) {
+                send(1, JOB_MILLIS, DEADLINE_MILLIS, entryHost, dispatcher);
+                Thread.sleep(50);
+            }
+            Thread.sleep(millis - 200);
+            entryHost.signal("CONT");
+        }
+
+        /** It took requests from its sockets whose callers had closed the connection and sent them to another host. */
+        @Test
+        void dispatchesNoRequestWhoseCallerHasLeft() throws Exception {
+            send(4 * TASKS_PER_SERVER, 2_400, 5_000, dispatcher, dispatcher);
+            Thread.sleep(600);
+            // The dispatcher compares the load of its zone with the last one for which it placed a job.
+            send(1, 60, 5_000, dispatcher, dispatcher);
+            sendWhileSuspended(3_300);
+            assertThat(callers.join().values()).containsOnly(200);
+        }
+
+        /** A request whose caller still waits is served once the host runs again. */
+        @Test
+        void dispatchesTheRequestsOfWaitingCallers() throws Exception {
+            sendWhileSuspended(500);
+            assertThat(callers.join().values()).containsOnly(200);
+        }
+    }
 }
