A late check of connections between hosts closes nothing

Cause: after a suspension timers fire before sockets are read, so the check of unresponsive connections closed those whose replies had arrived meanwhile. Entry hosts answered 504 for jobs that were done.

Change: a check that comes after more than two periods closes nothing; input is read before the next one.

Failed before: PeerTransportTest.ASuspendedEventLoop ("connection unresponsive for 1085 ms"); its event loop returns from a wait without looking at the sockets, as an interrupted one does. All 18 cases of PeerTransportTest pass.

--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -37,6 +37,9 @@
  * may be called from any thread; results are delivered on the event loop.
  */
 public final class PeerTransport {
+    /** A check that follows the last one after more than this many periods is late. */
+    private static final int LATE_CHECK_PERIODS = 2;
+
     private final HostId host;
     private final Incarnation incarnation;
     private final TransportLimits limits;
@@ -50,6 +53,7 @@
     private volatile PeerIdentity self;
     private Channel listener;
     private Future<?> connectionChecks;
+    private long lastCheckNanos;
 
     /**
      * @param host id of this entry host
@@ -112,7 +116,8 @@
         }
         listener = bound.channel();
         eventLoop.execute(() -> threadId = Thread.currentThread().getId());
-        long checkMillis = Math.max(1, limits.heartbeatTimeoutMillis() / 2);
+        long checkMillis = checkPeriodMillis();
+        lastCheckNanos = System.nanoTime();
         connectionChecks =
                 eventLoop.scheduleAtFixedRate(this::checkConnections, checkMillis, checkMillis, TimeUnit.MILLISECONDS);
         InetSocketAddress local = (InetSocketAddress) listener.localAddress();
@@ -187,9 +192,23 @@
         return connections.size();
     }
 
-    /** Runs on one timer for all connections: a timer for each would wake the event loop twice a second per member. */
+    private long checkPeriodMillis() {
+        return Math.max(1, limits.heartbeatTimeoutMillis() / 2);
+    }
+
+    /**
+     * Runs on one timer for all connections: a timer for each would wake the event loop twice a second per member. A
+     * late check closes nothing: after a suspension of the process, timers fire before replies that have arrived are
+     * read. They are read before the next check.
+     */
     private void checkConnections() {
-        List.copyOf(connections.values()).forEach(OutboundConnection::checkTimeouts);
+        long nowNanos = System.nanoTime();
+        boolean late =
+                nowNanos - lastCheckNanos > LATE_CHECK_PERIODS * TimeUnit.MILLISECONDS.toNanos(checkPeriodMillis());
+        lastCheckNanos = nowNanos;
+        if (!late) {
+            List.copyOf(connections.values()).forEach(OutboundConnection::checkTimeouts);
+        }
     }
 
     private OutboundConnection getOrOpen(String address) {
--- a/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
+++ b/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
@@ -4,6 +4,9 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.io.DataInputStream;
@@ -19,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.Incarnation;
 import org.banyanspoke.peer.generated.Frame;
@@ -36,14 +40,17 @@
 
     private final List<PeerTransport> started = new ArrayList<>();
     private final AtomicBoolean partitioned = new AtomicBoolean();
+    /** Set to suspend the event loop of the client. */
+    private final AtomicLong suspendMillis = new AtomicLong();
+
     private PeerTransport client;
     private PeerTransport server;
     private String serverAddress;
 
     @BeforeEach
     void startBoth() throws Exception {
-        client = start("h1", LIMITS, (direction, address) -> !partitioned.get());
         server = start("h2", LIMITS, FrameFilter.NONE);
+        client = start("h1", LIMITS, (direction, address) -> !partitioned.get());
         serverAddress = server.self().address();
         server.handle(Frame.BodyCase.JOB_FORWARD, (from, frame) -> Single.just(echo(frame)));
     }
@@ -56,7 +63,11 @@
     }
 
     private PeerTransport start(String host, TransportLimits limits, FrameFilter filter) throws Exception {
-        PeerTransport transport = new PeerTransport(new HostId(host), new Incarnation(host.hashCode()), limits, filter);
+        AtomicLong suspension = host.equals("h1") ? suspendMillis : new AtomicLong();
+        EventLoopGroup eventLoop =
+                new MultiThreadIoEventLoopGroup(1, SuspendableIoHandler.factory(NioIoHandler.newFactory(), suspension));
+        PeerTransport transport =
+                new PeerTransport(new HostId(host), new Incarnation(host.hashCode()), limits, filter, eventLoop);
         transport.start("127.0.0.1:0");
         started.add(transport);
         return transport;
@@ -368,6 +379,29 @@
     }
 
     /** Guards against starting a job whose sender has disconnected and already told the caller that it failed. */
+    /** After a suspension, the connection was closed and its requests failed although their replies had arrived. */
+    @Nested
+    class ASuspendedEventLoop {
+        private static final long SUSPENDED_MILLIS = 1_000;
+
+        @Test
+        void readsTheRepliesThatHaveArrivedBeforeItChecksConnections() throws Exception {
+            assertThat(text(sendRequest("first", 2_000).blockingGet())).isEqualTo("first");
+            SingleSubject<Frame.Builder> reply = SingleSubject.create();
+            CountDownLatch received = new CountDownLatch(1);
+            server.handle(Frame.BodyCase.JOB_FORWARD, (from, frame) -> {
+                received.countDown();
+                return reply;
+            });
+            var answer = sendRequest("second", 5_000).test();
+            received.await();
+            suspendMillis.set(SUSPENDED_MILLIS);
+            Thread.sleep(SUSPENDED_MILLIS / 2);
+            reply.onSuccess(Frame.newBuilder().setJobForwardReply(JobForwardReply.getDefaultInstance()));
+            answer.awaitDone(5, TimeUnit.SECONDS).assertNoErrors().assertValueCount(1);
+        }
+    }
+
     @Nested
     class CancellationOnDisconnect {
         private final CountDownLatch received = new CountDownLatch(1);
