The close of a caller's connection cancels its own attempt only

Cause: the close of a connection cancelled the job by its id, so an entry host that had both attempts of a caller in its sockets cancelled the second one and dispatched the first, whose caller had left.

Change: EntryJobService.submit returns the attempt, which is abandoned by itself. A dispatcher cancels a job of which no attempt is open when it checks the contact with its caller.

Failed before (with cancellation by id): JobForwarderTest.theNextAttemptOfTheSameCallerIsServed and anEarlierAttemptThatIsAbandonedLeavesTheJobToTheNextOne.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/EntryJobService.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/EntryJobService.java
@@ -14,15 +14,22 @@
     /** Returns the number of jobs of a queue that are waiting with no task started. */
     int pendingJobs(String queue);
 
+    /** A caller's attempt to have a job run. Another attempt with the same job id may be open at the same time. */
+    @FunctionalInterface
+    interface Attempt {
+        /** Gives up this attempt because its caller no longer waits; the job goes on for other attempts. */
+        void abandon(String reason);
+    }
+
     /**
      * Submits a job.
      *
      * @param onOutcome called exactly once
      */
-    void submit(PooledJob job, Consumer<JobOutcome> onOutcome);
+    Attempt submit(PooledJob job, Consumer<JobOutcome> onOutcome);
 
     /**
-     * Cancels a job whose caller no longer waits for it.
+     * Cancels the newest attempt of a job.
      *
      * @return whether the job was in progress on this host
      */
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -121,10 +121,11 @@
     }
 
     @Override
-    public void submit(PooledJob job, Consumer<JobOutcome> onEnded) {
+    public Attempt submit(PooledJob job, Consumer<JobOutcome> onEnded) {
         OpenJob openJob = new OpenJob(job, new JobPlacement(job, router, clock), input.nowMillis(), onEnded);
         open.put(job.id(), openJob);
         place(openJob, NO_DISPATCHER);
+        return reason -> cancel(openJob, reason);
     }
 
     /** Returns whether a caller waits for a job that was sent to a dispatcher. */
@@ -244,15 +245,29 @@
         if (job == null) {
             return false;
         }
+        cancel(job, reason);
+        return true;
+    }
+
+    private void cancel(OpenJob job, String reason) {
+        if (job.ended()) {
+            return;
+        }
         job.cancel();
         if (waiting.remove(job)) {
             end(job, JobOutcome.refused(reason, NO_DISPATCHER_RETRY_MILLIS));
-        } else if (job.isDispatchedBy(host)) {
-            dispatcher.cancel(host, id, reason);
+        } else if (open.get(job.id()) == job) {
+            cancelAtDispatcher(job, reason);
+        }
+        // A dispatcher cancels a job only of which no attempt is open here, when it checks the contact with its caller.
+    }
+
+    private void cancelAtDispatcher(OpenJob job, String reason) {
+        if (job.isDispatchedBy(host)) {
+            dispatcher.cancel(host, job.id(), reason);
         } else {
-            job.dispatcher().ifPresent(state -> cancelRemotely(state.host(), id, reason));
+            job.dispatcher().ifPresent(state -> cancelRemotely(state.host(), job.id(), reason));
         }
-        return true;
     }
 
     private void cancelRemotely(HostId to, CallerJobId id, String reason) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/OpenJob.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/OpenJob.java
@@ -17,6 +17,7 @@
     private final Consumer<JobOutcome> onEnded;
     private Optional<HostState> dispatcher = Optional.empty();
     private boolean cancelled;
+    private boolean ended;
 
     /**
      * @param receivedMillis time of the elapsed clock at which the request was read
@@ -68,7 +69,13 @@
         cancelled = true;
     }
 
+    /** Returns whether the caller has been answered. */
+    boolean ended() {
+        return ended;
+    }
+
     void answer(JobOutcome outcome) {
+        ended = true;
         onEnded.accept(outcome);
     }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -19,6 +19,7 @@
 import org.banyanspoke.core.ownership.HostFailureDetector;
 import org.banyanspoke.core.ownership.JobRouter;
 import org.banyanspoke.core.pool.CallerJobId;
+import org.banyanspoke.core.pool.EntryJobService;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.pool.PooledJob;
@@ -54,6 +55,7 @@
     /** Records the submitted jobs. */
     private static final class RecordingPool implements ServerPool {
         private final List<CallerJobId> submitted = new ArrayList<>();
+        private final List<CallerJobId> cancelled = new ArrayList<>();
 
         @Override
         public void assign(Collection<ServerDescriptor> servers) {}
@@ -64,7 +66,9 @@
         }
 
         @Override
-        public void cancel(CallerJobId id, String reason) {}
+        public void cancel(CallerJobId id, String reason) {
+            cancelled.add(id);
+        }
 
         @Override
         public void release(String reason) {}
@@ -146,7 +150,7 @@
         ran.get(10, TimeUnit.SECONDS);
     }
 
-    private void submit() {
+    private EntryJobService.Attempt submit() {
         PooledJob job = new PooledJob(
                 JOB,
                 new QueuePolicy("q", "s", 0, 3, 1.6, 60),
@@ -155,7 +159,19 @@
                 new TaskRequirements(1_000, 1, 0, 900, "", "", 0),
                 0,
                 5_000);
-        forwarder.submit(job, outcomes::add);
+        return forwarder.submit(job, outcomes::add);
+    }
+
+    @Test
+    void anEarlierAttemptThatIsAbandonedLeavesTheJobToTheNextOne() throws Exception {
+        pass(20);
+        pass(20);
+        EntryJobService.Attempt first = submit();
+        EntryJobService.Attempt second = submit();
+        first.abandon("the caller closed the connection");
+        assertThat(pool.cancelled).isEmpty();
+        second.abandon("the caller closed the connection");
+        assertThat(pool.cancelled).containsExactly(JOB);
     }
 
     @Test
@@ -187,9 +203,9 @@
 
         @Test
         void aRequestWhoseCallerHasLeftIsNotDispatched() throws Exception {
-            submit();
+            EntryJobService.Attempt attempt = submit();
             pass(1);
-            forwarder.cancel(JOB, "the caller closed the connection");
+            attempt.abandon("the caller closed the connection");
             pass(1);
             pass(1);
             assertThat(pool.submitted).isEmpty();
@@ -197,6 +213,20 @@
             assertThat(forwarder.openJobs()).isZero();
         }
 
+        /** The close of the first attempt's connection cancelled the second attempt, and the first one was dispatched. */
+        @Test
+        void theNextAttemptOfTheSameCallerIsServed() throws Exception {
+            EntryJobService.Attempt first = submit();
+            submit();
+            pass(1);
+            first.abandon("the caller closed the connection");
+            pass(1);
+            pass(1);
+            assertThat(pool.submitted).containsExactly(JOB);
+            assertThat(outcomes).hasSize(1);
+            assertThat(forwarder.openJobs()).isEqualTo(1);
+        }
+
         @Test
         void aRequestOnAConnectionThatIsAcceptedLaterWaitsToo() throws Exception {
             pass(1);
