Contacts are indexed by entry host, too

A tick looked at all jobs once for each entry host. With a second index its work grows with the jobs alone, as before the contacts. JobContactsTest, ZoneDispatcherTest and JobForwarderTest pass (32 cases).

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,6 +33,9 @@
     private final MonotonicClock elapsedClock;
     private final LongSupplier ownInputAgeMillis;
     private final Map<CallerJobId, Map<HostId, Contact>> contactsByJob = new HashMap<>();
+    /** The same contacts, so that the work of a tick grows with the jobs and not with the jobs of each host. */
+    private final Map<HostId, Map<CallerJobId, Contact>> contactsByHost = new HashMap<>();
+
     private final Map<HostId, Long> lastCheckMillis = new HashMap<>();
 
     private static final class Contact {
@@ -76,36 +77,48 @@
         long nowMillis = elapsedClock.millis();
         // A time of another process's clock may be in the future.
         boolean valid = knownMillis > 0 && knownMillis <= nowMillis;
-        contactsByJob
-                .computeIfAbsent(job, key -> new LinkedHashMap<>())
-                .put(host, new Contact(nowMillis, valid ? knownMillis : NEVER));
+        Contact contact = new Contact(nowMillis, valid ? knownMillis : NEVER);
+        contactsByJob.computeIfAbsent(job, key -> new HashMap<>()).put(host, contact);
+        contactsByHost.computeIfAbsent(host, key -> new HashMap<>()).put(job, contact);
     }
 
     /** Removes a job that has ended. */
     void remove(CallerJobId job) {
-        contactsByJob.remove(job);
+        Map<HostId, Contact> contacts = contactsByJob.remove(job);
+        if (contacts != null) {
+            contacts.keySet().forEach(host -> removeFromHost(host, job));
+        }
     }
 
     /** Removes an entry host that no longer waits for a job. Returns whether it was the last one. */
     boolean remove(CallerJobId job, HostId host) {
         Map<HostId, Contact> contacts = contactsByJob.get(job);
-        if (contacts == null || contacts.remove(host) == null || !contacts.isEmpty()) {
+        if (contacts == null || contacts.remove(host) == null) {
             return false;
         }
-        contactsByJob.remove(job);
-        return true;
+        removeFromHost(host, job);
+        if (contacts.isEmpty()) {
+            contactsByJob.remove(job);
+        }
+        return contacts.isEmpty();
+    }
+
+    private void removeFromHost(HostId host, CallerJobId job) {
+        Map<CallerJobId, Contact> jobs = contactsByHost.get(host);
+        jobs.remove(job);
+        if (jobs.isEmpty()) {
+            contactsByHost.remove(host);
+        }
     }
 
     /** Returns the entry hosts that wait for jobs. */
     Set<HostId> hosts() {
-        Set<HostId> all = new HashSet<>();
-        contactsByJob.values().forEach(contacts -> all.addAll(contacts.keySet()));
-        return all;
+        return Set.copyOf(contactsByHost.keySet());
     }
 
     /** Returns the jobs that an entry host waits for. */
     List<CallerJobId> jobsOf(HostId host) {
-        return jobsOf(host, Long.MIN_VALUE);
+        return List.copyOf(contactsByHost.getOrDefault(host, Map.of()).keySet());
     }
 
     @Override
@@ -137,24 +150,29 @@
     List<Check> takeDueChecks() {
         long nowMillis = elapsedClock.millis();
         List<Check> checks = new ArrayList<>();
-        for (HostId host : hosts()) {
+        contactsByHost.forEach((host, contacts) -> {
             boolean awaitsReply = nowMillis - lastCheckMillis.getOrDefault(host, NEVER) < CHECK_RETRY_MILLIS;
-            if (!host.equals(self)
-                    && !awaitsReply
-                    && !jobsOf(host, CHECK_AGE_MILLIS).isEmpty()) {
+            if (!host.equals(self) && !awaitsReply && isCheckDue(contacts.values(), nowMillis)) {
                 lastCheckMillis.put(host, nowMillis);
-                checks.add(new Check(host, jobsOf(host, INCLUDE_AGE_MILLIS), nowMillis));
+                checks.add(new Check(host, jobsToCheck(contacts, nowMillis), nowMillis));
             }
-        }
+        });
         return checks;
     }
 
-    private List<CallerJobId> jobsOf(HostId host, long minAgeMillis) {
-        long nowMillis = elapsedClock.millis();
+    private static boolean isCheckDue(Collection<Contact> contacts, long nowMillis) {
+        for (Contact contact : contacts) {
+            if (nowMillis - contact.confirmedMillis >= CHECK_AGE_MILLIS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static List<CallerJobId> jobsToCheck(Map<CallerJobId, Contact> contacts, long nowMillis) {
         List<CallerJobId> jobs = new ArrayList<>();
-        contactsByJob.forEach((job, contacts) -> {
-            Contact contact = contacts.get(host);
-            if (contact != null && nowMillis - contact.confirmedMillis >= minAgeMillis) {
+        contacts.forEach((job, contact) -> {
+            if (nowMillis - contact.confirmedMillis >= INCLUDE_AGE_MILLIS) {
                 jobs.add(job);
             }
         });
