--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -5,10 +5,8 @@
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.RunLedger;
 import org.junit.jupiter.api.AfterEach;
@@ -28,7 +26,7 @@
  * {@code bin/soak} runs other seeds, longer, or with more hosts.
  */
 class FaultSoakTest {
-    private static final List<Long> SEEDS = seeds();
+    private static final List<Long> SEEDS = Seeds.parse(System.getProperty("soak.seeds", "1,10"));
     private static final long RUN_MILLIS = 1_000 * Long.getLong("soak.seconds", 20);
     private static final int HOSTS = Integer.getInteger("soak.hosts", 6);
     private static final int SERVERS = Integer.getInteger("soak.servers", 8);
@@ -55,19 +53,6 @@
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path folder;
 
-    /** Parses the seeds, for instance {@code 1,2,7-9}. */
-    private static List<Long> seeds() {
-        return Arrays.stream(System.getProperty("soak.seeds", "1,10").split(","))
-                .flatMap(FaultSoakTest::range)
-                .toList();
-    }
-
-    private static Stream<Long> range(String text) {
-        String[] ends = text.split("-");
-        return Stream.iterate(
-                Long.valueOf(ends[0]), seed -> seed <= Long.parseLong(ends[ends.length - 1]), seed -> seed + 1);
-    }
-
     static List<Long> allSeeds() {
         return SEEDS;
     }
