--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
@@ -21,8 +21,8 @@
     private static final double LEASE_MARGIN_FACTOR = 1.04;
 
     private static final long LEASE_MARGIN_MILLIS = 100;
-    /** A new run gets at least this part of the validity of its caller's contact, so that its lease can be renewed. */
-    private static final int MIN_REMAINING_CONTACT_DIVISOR = 2;
+    /** Tasks start in the first half of the validity of the contact, so that the first lease can be renewed in time. */
+    private static final int START_CONTACT_DIVISOR = 2;
 
     /** Returns the time since the last command with a deadline after which no run is left on an unreachable server. */
     public long leaseExpiryMillis() {
@@ -31,6 +31,6 @@
 
     /** Returns the greatest age of the contact with a job's caller with which tasks of the job are started. */
     public long maxContactAgeAtStartMillis() {
-        return contactValidityMillis - contactValidityMillis / MIN_REMAINING_CONTACT_DIVISOR;
+        return contactValidityMillis / START_CONTACT_DIVISOR;
     }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/InputProgress.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/InputProgress.java
@@ -61,12 +61,15 @@
         return readUntilMonotonicNanos;
     }
 
-    /** Returns how long ago the input that has been read arrived at the latest, including suspensions. */
+    /**
+     * Returns the time since the moment up to which all input has been read, in milliseconds. Suspensions of the process
+     * and of the machine count.
+     */
     long behindMillis() {
         return elapsedClock.millis() - readUntilElapsedMillis;
     }
 
-    /** Returns whether older input may be unread, because the process was suspended. */
+    /** Returns whether input that arrived some time ago may be unread, because the process was suspended. */
     boolean isBehind() {
         return behindMillis() >= BEHIND_MILLIS;
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -259,7 +259,9 @@
         } else if (open.get(job.id()) == job) {
             cancelAtDispatcher(job, reason);
         }
-        // A dispatcher cancels a job only of which no attempt is open here, when it checks the contact with its caller.
+        // Otherwise a later attempt is open, whose dispatcher may have the same job. A dispatcher that has only the
+        // earlier
+        // attempt cancels it when it checks the contact with its caller.
     }
 
     private void cancelAtDispatcher(OpenJob job, String reason) {
