Contacts are checked at the address that the entry host has announced

Cause: the check of a job's contact was sent to the address in the host list. An entry host that the list does not name, such as one whose record was removed, was never asked, and none of its jobs was started. A request to an unknown address (null) threw on the event loop and never ended.

Change: the address that comes with a job is recorded, as that of a state message is; a request without an address fails at once.

Failed before: JobForwarderTest.asksAnEntryHostThatTheDirectoryDoesNotName (no check within 10 s), PeerTransportTest.requestsToAnInvalidAddressFailAtOnce with null. PeerTransportTest, JobForwarderTest and HostDirectoryTest pass, 31 cases.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostDirectory.java
@@ -68,7 +68,7 @@
     }
 
     /**
-     * Records the address from a state message, which may arrive before the host's record has been read. An invalid
+     * Records the address that a host has announced, which may arrive before the host's record has been read. An invalid
      * address changes nothing.
      */
     void recordAddress(HostId host, String address) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -293,6 +293,8 @@
                     if (emitter.isDisposed()) {
                         return;
                     }
+                    // The contact with the caller is checked at this address.
+                    directory.recordAddress(from.host(), from.address());
                     dispatcher.submit(from.host(), job, request.getPoolJob().getDispatcherMillis(), outcome -> {
                         ended.set(true);
                         emitter.onSuccess(Frame.newBuilder().setPoolJobReply(PoolMessages.encode(outcome)));
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
@@ -31,6 +32,7 @@
 import org.banyanspoke.peer.FrameFilter;
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.TransportLimits;
+import org.banyanspoke.peer.generated.Frame;
 import org.banyanspoke.platform.StoreClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -49,6 +51,7 @@
     private final Context context = vertx.getOrCreateContext();
     private final InputProgress input = new InputProgress(clock, clock);
     private final RecordingPool pool = new RecordingPool();
+    private final PeerTransport transport = newTransport(SELF);
     private final List<JobOutcome> outcomes = new ArrayList<>();
     private final JobForwarder forwarder = newForwarder();
 
@@ -92,12 +95,15 @@
         }
     }
 
-    private JobForwarder newForwarder() {
-        PeerTransport transport = new PeerTransport(
-                SELF,
+    private static PeerTransport newTransport(HostId host) {
+        return new PeerTransport(
+                host,
                 new Incarnation(1),
                 new TransportLimits(1_000_000, 1_000_000, 500, 300, 60_000),
                 FrameFilter.NONE);
+    }
+
+    private JobForwarder newForwarder() {
         HostDirectory directory = new HostDirectory(SELF);
         FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L);
         JobContacts contacts = new JobContacts(SELF, clock, input::behindMillis);
@@ -150,8 +156,8 @@
         ran.get(10, TimeUnit.SECONDS);
     }
 
-    private EntryJobService.Attempt submit() {
-        PooledJob job = new PooledJob(
+    private static PooledJob job() {
+        return new PooledJob(
                 JOB,
                 new QueuePolicy("q", "s", 0, 3, 1.6, 60),
                 "",
@@ -159,7 +165,10 @@
                 new TaskRequirements(1_000, 1, 0, 900, "", "", 0),
                 0,
                 5_000);
-        return forwarder.submit(job, outcomes::add);
+    }
+
+    private EntryJobService.Attempt submit() {
+        return forwarder.submit(job(), outcomes::add);
     }
 
     @Test
@@ -250,4 +259,30 @@
             assertThat(pool.submitted).containsExactly(JOB);
         }
     }
+
+    /** The check of such a host's jobs was never sent, so none of them was started. */
+    @Test
+    void asksAnEntryHostThatTheDirectoryDoesNotName() throws Exception {
+        PeerTransport entryHost = newTransport(new HostId("entry"));
+        try {
+            CompletableFuture<Frame> check = new CompletableFuture<>();
+            entryHost.handle(Frame.BodyCase.POOL_JOB_CHECK, (from, request) -> {
+                check.complete(request);
+                return Single.just(Frame.newBuilder().setPoolJobCheck(request.getPoolJobCheck()));
+            });
+            transport.start("127.0.0.1:0");
+            entryHost.start("127.0.0.1:0");
+            var unused = entryHost
+                    .request(
+                            transport.self().address(),
+                            Frame.newBuilder().setPoolJob(PoolMessages.encode(job(), 0)),
+                            5_000)
+                    .subscribe(reply -> {}, error -> {});
+            assertThat(PoolMessages.decodeCheck(check.get(10, TimeUnit.SECONDS)))
+                    .containsExactly(JOB);
+        } finally {
+            transport.stop();
+            entryHost.stop();
+        }
+    }
 }
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -132,7 +132,7 @@
     /**
      * Sends a request.
      *
-     * @param address the peer's {@code ip:port}
+     * @param address the peer's {@code ip:port}; the request fails if it is invalid or null
      * @param request the message; its id is set here
      * @param timeoutMillis timeout for the reply, including connecting
      * @return the reply; fails with {@link PeerException}
@@ -212,6 +212,9 @@
     }
 
     private OutboundConnection getOrOpen(String address) {
+        if (address == null) {
+            throw new IllegalArgumentException("peer address is not known");
+        }
         OutboundConnection connection = connections.get(address);
         return connection == null ? open(address) : connection;
     }
--- a/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
+++ b/banyanspoke-peer/src/test/java/org/banyanspoke/peer/PeerTransportTest.java
@@ -76,7 +76,7 @@
     /** Such a request never ended, and neither did the job that it carried. */
     @Test
     void requestsToAnInvalidAddressFailAtOnce() {
-        for (String address : new String[] {"somewhere", "10.0.0.1:99999", "10.0.0.1:", ":", "10.0.0.1:x"}) {
+        for (String address : new String[] {null, "somewhere", "10.0.0.1:99999", "10.0.0.1:", ":", "10.0.0.1:x"}) {
             var reply = client.request(address, forward("j", 1), 5_000).test();
             reply.awaitDone(1, TimeUnit.SECONDS)
                     .assertError(error -> error instanceof PeerException failure && !failure.mayHaveArrived());
