No exception of the observed event loop ends it

Cause: an exception while a pass over the sockets is recorded, such as a task that is rejected at the shutdown of the event loop, left the handler's run and so would have ended the event loop's thread. An error in the check of contacts kept waiting jobs from being placed in that tick, and an unexpected error in an answer to a check gave no answer.

Change: such an error is logged and the loop goes on; checks of contacts are a step of the tick of their own; every question is answered. The handler that forwards all calls stands once (ForwardingIoHandler), and InputProgress keeps both clocks in one value.

Failed before: InputProgressTest.anEventLoopThatRejectsActionsGoesOnReading (with the catch taken out: RejectedExecutionException). InputProgressTest, JobForwarderTest and PeerTransportTest pass, 32 cases.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -243,6 +243,7 @@
         guard.run("exchange states", exchange::tick);
         guard.run("elect dispatcher", this::reconcile);
         guard.run("dispatch", () -> dispatcher.tick(exchange::isAlive));
+        guard.run("check contacts", jobs::checkContacts);
         guard.run("place jobs", jobs::tick);
         if (stopRequestedMillis >= 0) {
             stopIfDone();
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/InputProgress.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/InputProgress.java
@@ -1,21 +1,20 @@
 package org.banyanspoke.host;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.Executor;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
+import org.banyanspoke.peer.ForwardingIoHandler;
 import org.jboss.logging.Logger;
 
 /**
  * Tells up to which time the event loop has read what has arrived at its sockets. After the process was suspended,
  * timers may fire before the sockets are read, and a closed connection is detected one pass after the data that arrived
- * before it. Used on the event loop only.
+ * before it. Observes one event loop with one thread, and is used on that thread only.
  */
 final class InputProgress {
     /** The event loop waits at most 60 ms for input; a slow host takes somewhat longer for a pass. */
@@ -30,15 +29,15 @@
     private final Queue<PendingAction> actions = new ArrayDeque<>();
     private Executor executor = Runnable::run;
     /** Start of the last completed pass over the sockets. */
-    private long lastPassMonotonicNanos;
-
-    private long lastPassElapsedMillis;
+    private Moment lastPass;
     /** Start of the pass before. */
-    private long readUntilMonotonicNanos;
+    private Moment readUntil;
 
-    private long readUntilElapsedMillis;
     private long catchUpEndMillis;
 
+    /** A moment on both clocks. */
+    record Moment(long monotonicNanos, long elapsedMillis) {}
+
     /** An action that waits until the input is read that had arrived at a time of the elapsed clock. */
     private record PendingAction(long arrivedMillis, Runnable action) {}
 
@@ -49,16 +48,18 @@
     InputProgress(MonotonicClock monotonicClock, MonotonicClock elapsedClock) {
         this.monotonicClock = monotonicClock;
         this.elapsedClock = elapsedClock;
-        lastPassMonotonicNanos = monotonicClock.nanos();
-        lastPassElapsedMillis = elapsedClock.millis();
-        readUntilMonotonicNanos = lastPassMonotonicNanos;
-        readUntilElapsedMillis = lastPassElapsedMillis;
-        catchUpEndMillis = readUntilElapsedMillis;
+        lastPass = now();
+        readUntil = lastPass;
+        catchUpEndMillis = lastPass.elapsedMillis();
+    }
+
+    private Moment now() {
+        return new Moment(monotonicClock.nanos(), elapsedClock.millis());
     }
 
     /** Returns the time up to which input has been read, on the clock of the timers, in nanoseconds. */
     long readUntilNanos() {
-        return readUntilMonotonicNanos;
+        return readUntil.monotonicNanos();
     }
 
     /**
@@ -66,7 +67,7 @@
      * and of the machine count.
      */
     long behindMillis() {
-        return elapsedClock.millis() - readUntilElapsedMillis;
+        return elapsedClock.millis() - readUntil.elapsedMillis();
     }
 
     /** Returns whether input that arrived some time ago may be unread, because the process was suspended. */
@@ -81,7 +82,7 @@
 
     /** Returns whether all input has been read that had arrived at a time of the elapsed clock. */
     boolean hasReadUntil(long elapsedMillis) {
-        return readUntilElapsedMillis >= elapsedMillis;
+        return readUntil.elapsedMillis() >= elapsedMillis;
     }
 
     /** Returns the current time of the elapsed clock. */
@@ -101,17 +102,15 @@
     }
 
     /** Records a completed pass over the sockets, which read at least what had arrived when it started. */
-    void recordPass(long startMonotonicNanos, long startElapsedMillis) {
+    void recordPass(Moment start) {
         long nowMillis = elapsedClock.millis();
-        long unreadMillis = nowMillis - lastPassElapsedMillis;
+        long unreadMillis = nowMillis - lastPass.elapsedMillis();
         if (unreadMillis >= BEHIND_MILLIS) {
             logStandstill(unreadMillis, nowMillis);
             catchUpEndMillis = nowMillis + CATCH_UP_MILLIS;
         }
-        readUntilMonotonicNanos = lastPassMonotonicNanos;
-        readUntilElapsedMillis = lastPassElapsedMillis;
-        lastPassMonotonicNanos = startMonotonicNanos;
-        lastPassElapsedMillis = startElapsedMillis;
+        readUntil = lastPass;
+        lastPass = start;
         if (!actions.isEmpty()) {
             runDueActions();
         }
@@ -142,51 +141,24 @@
         };
     }
 
-    /** Delegates to a handler of an event loop and records its passes. */
-    private final class ObservedHandler implements IoHandler {
-        private final IoHandler handler;
-
+    /** Records the passes of a handler. An exception here would end the event loop, so none leaves it. */
+    private final class ObservedHandler extends ForwardingIoHandler {
         private ObservedHandler(IoHandler handler) {
-            this.handler = handler;
+            super(handler);
         }
 
         @Override
         public int run(IoHandlerContext context) {
-            long startMonotonicNanos = monotonicClock.nanos();
-            long startElapsedMillis = elapsedClock.millis();
-            int handled = handler.run(context);
-            recordPass(startMonotonicNanos, startElapsedMillis);
+            Moment start = now();
+            int handled = super.run(context);
+            try {
+                recordPass(start);
+            } catch (RuntimeException e) {
+                LOG.event(Logger.Level.ERROR, "unexpected error after a pass over the sockets")
+                        .cause(e)
+                        .write();
+            }
             return handled;
         }
-
-        @Override
-        public void initialize() {
-            handler.initialize();
-        }
-
-        @Override
-        public void prepareToDestroy() {
-            handler.prepareToDestroy();
-        }
-
-        @Override
-        public void destroy() {
-            handler.destroy();
-        }
-
-        @Override
-        public IoRegistration register(IoHandle handle) throws Exception {
-            return handler.register(handle);
-        }
-
-        @Override
-        public void wakeup() {
-            handler.wakeup();
-        }
-
-        @Override
-        public boolean isCompatible(Class<? extends IoHandle> handleType) {
-            return handler.isCompatible(handleType);
-        }
     }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContactExchange.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContactExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Context;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.core.pool.CallerJobId;
@@ -75,11 +76,14 @@
     }
 
     private void onReply(JobContacts.Check check, Frame reply) {
+        Set<CallerJobId> awaited;
         try {
-            dispatcher.onContact(check, PoolMessages.decodeCheck(reply));
+            awaited = PoolMessages.decodeCheck(reply);
         } catch (IllegalArgumentException e) {
             onFailure(check, e);
+            return;
         }
+        dispatcher.onContact(check, awaited);
     }
 
     /** The check is repeated; meanwhile no task of these jobs is started. */
@@ -111,7 +115,7 @@
                 }
             }
             emitter.onSuccess(Frame.newBuilder().setPoolJobCheck(PoolMessages.encode(awaited)));
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
             emitter.tryOnError(e);
         }
     }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -134,9 +134,13 @@
         return job != null && !job.cancelled() && job.isDispatchedBy(dispatcherHost);
     }
 
-    /** Retries the placement of jobs that wait for a dispatcher, and checks the contact with the callers of jobs here. */
-    void tick() {
+    /** Asks the entry hosts of jobs that this host dispatches whether they still wait, if that is due. */
+    void checkContacts() {
         contactExchange.tick();
+    }
+
+    /** Retries the placement of jobs that wait for a dispatcher. */
+    void tick() {
         for (OpenJob each : List.copyOf(waiting)) {
             waiting.remove(each);
             place(each, NO_DISPATCHER);
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/InputProgressTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/InputProgressTest.java
@@ -2,8 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -19,10 +25,9 @@
     }
 
     private void pass(long millis) {
-        long startNanos = nanos();
-        long startMillis = nowMillis;
+        InputProgress.Moment start = new InputProgress.Moment(nanos(), nowMillis);
         nowMillis += millis;
-        input.recordPass(startNanos, startMillis);
+        input.recordPass(start);
     }
 
     @Test
@@ -82,4 +87,56 @@
         pass(1);
         assertThat(runs).hasSize(1);
     }
+
+    /** An exception that leaves a pass ends the event loop, and the process no longer serves. */
+    @Test
+    void anEventLoopThatRejectsActionsGoesOnReading() throws Exception {
+        RejectingExecutor executor = new RejectingExecutor();
+        IoHandler handler = input.observe(unused -> new IdleHandler()).newHandler(executor);
+        input.afterReading(() -> {});
+        executor.rejecting = true;
+        assertThat(handler.run(null)).isEqualTo(IdleHandler.HANDLED);
+        nowMillis += 20;
+        assertThat(handler.run(null)).isEqualTo(IdleHandler.HANDLED);
+    }
+
+    /** Rejects tasks like an event loop that is shutting down. */
+    private static final class RejectingExecutor implements ThreadAwareExecutor {
+        private boolean rejecting;
+
+        @Override
+        public boolean isExecutorThread(Thread thread) {
+            return true;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            if (rejecting) {
+                throw new RejectedExecutionException("shut down");
+            }
+        }
+    }
+
+    /** Handles the same number of events in each pass. */
+    private static final class IdleHandler implements IoHandler {
+        private static final int HANDLED = 3;
+
+        @Override
+        public int run(IoHandlerContext context) {
+            return HANDLED;
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void wakeup() {}
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return false;
+        }
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -146,10 +146,9 @@
     }
 
     private void pass(long millis) throws Exception {
-        long startNanos = clock.nanos();
-        long startMillis = nowMillis;
+        InputProgress.Moment start = new InputProgress.Moment(clock.nanos(), nowMillis);
         nowMillis += millis;
-        input.recordPass(startNanos, startMillis);
+        input.recordPass(start);
         // The actions of the pass run on the context.
         CompletableFuture<Void> ran = new CompletableFuture<>();
         context.runOnContext(unused -> ran.complete(null));
--- a/banyanspoke-peer/src/test/java/org/banyanspoke/peer/SuspendableIoHandler.java
+++ b/banyanspoke-peer/src/test/java/org/banyanspoke/peer/SuspendableIoHandler.java
@@ -1,22 +1,19 @@
 package org.banyanspoke.peer;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Simulates a process that is suspended while it waits for input: the wait is interrupted when the process is resumed,
  * so timers fire before any socket is read.
  */
-final class SuspendableIoHandler implements IoHandler {
-    private final IoHandler handler;
+final class SuspendableIoHandler extends ForwardingIoHandler {
     private final AtomicLong suspendMillis;
 
     private SuspendableIoHandler(IoHandler handler, AtomicLong suspendMillis) {
-        this.handler = handler;
+        super(handler);
         this.suspendMillis = suspendMillis;
     }
 
@@ -33,7 +30,7 @@
     public int run(IoHandlerContext context) {
         long millis = suspendMillis.getAndSet(0);
         if (millis == 0) {
-            return handler.run(context);
+            return super.run(context);
         }
         try {
             Thread.sleep(millis);
@@ -42,34 +39,4 @@
         }
         return 0;
     }
-
-    @Override
-    public void initialize() {
-        handler.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        handler.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        handler.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return handler.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        handler.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> handleType) {
-        return handler.isCompatible(handleType);
-    }
 }
