--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -104,8 +104,8 @@
             servers.put(descriptor.id(), returning);
             return;
         }
-        OwnedServer server =
-                new OwnedServer(descriptor, commands, settings, clock, inputClock, contact, serverListener);
+        ServerLease lease = new ServerLease(settings, clock, inputClock, contact);
+        OwnedServer server = new OwnedServer(descriptor, commands, settings, clock, lease, serverListener);
         servers.put(descriptor.id(), server);
         server.claim(tokens.current());
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.banyanspoke.core.pool.CallerContact;
 import org.banyanspoke.core.pool.PoolSettings;
 import org.banyanspoke.core.pool.RunKey;
 import org.banyanspoke.core.pool.ServerCommands;
@@ -69,8 +68,7 @@
     private final ServerCommands commands;
     private final PoolSettings settings;
     private final MonotonicClock clock;
-    private final MonotonicClock inputClock;
-    private final CallerContact contact;
+    private final ServerLease lease;
     private final Listener listener;
     private final Map<RunKey, Run> runs = new HashMap<>();
     private final Map<RunKey, Long> orphanRuns = new HashMap<>();
@@ -85,9 +83,6 @@
     private long acknowledged;
     private long highestEndNumber;
     private long startTimeMillis;
-    private long serverClockMillis;
-    private long serverClockReadMillis;
-    private long deadlineSentAtMillis = Long.MIN_VALUE / 2;
     private int usedCpu;
     private long runningWork;
     private int usedMemory;
@@ -98,15 +93,13 @@
             ServerCommands commands,
             PoolSettings settings,
             MonotonicClock clock,
-            MonotonicClock inputClock,
-            CallerContact contact,
+            ServerLease lease,
             Listener listener) {
         this.descriptor = descriptor;
         this.commands = commands;
         this.settings = settings;
         this.clock = clock;
-        this.inputClock = inputClock;
-        this.contact = contact;
+        this.lease = lease;
         this.listener = listener;
     }
 
@@ -168,7 +161,7 @@
         token = newToken;
         state = State.CLAIMING;
         // The previous owner may have extended the lease until now.
-        recordDeadlineSent();
+        lease.recordDeadlineSent();
         nextRenewalMillis = clock.millis();
         renewIfDue(clock.millis());
     }
@@ -185,12 +178,16 @@
         runningWork += run.expectedWork();
         usedMemory += run.memoryMegabytes;
         usedGpus += run.gpus;
-        recordDeadlineSent();
+        lease.recordDeadlineSent();
         long tokenUsed = token;
         commands.start(
                 descriptor,
                 new ServerCommands.StartCommand(
-                        run.key, payload, deadlineMillis(leaseMillis(run)), tokenUsed, settings.commandTimeoutMillis()),
+                        run.key,
+                        payload,
+                        lease.deadlineMillis(lease.maxMillis(run)),
+                        tokenUsed,
+                        settings.commandTimeoutMillis()),
                 reply -> onStartReply(run, tokenUsed, reply));
     }
 
@@ -225,7 +222,7 @@
                 stopOrphanRun(key, nowMillis);
             }
         });
-        if (!isIdle() && inputClock.millis() - deadlineSentAtMillis >= settings.leaseExpiryMillis()) {
+        if (!isIdle() && lease.hasExpired()) {
             onLeaseExpired("no reply before the lease expired");
         }
         renewIfDue(nowMillis);
@@ -251,7 +248,7 @@
         if (runs.get(run.key) != run || closed) {
             return;
         }
-        recordServerClock(reply.clockMillis());
+        lease.recordServerClock(reply.clockMillis());
         switch (reply.status()) {
             case OK -> {
                 if (run.state == Run.State.STARTING) {
@@ -294,7 +291,7 @@
         if (runs.get(run.key) != run || closed) {
             return;
         }
-        recordServerClock(reply.clockMillis());
+        lease.recordServerClock(reply.clockMillis());
         if (reply.status() == Status.OK) {
             run.state = Run.State.STOPPED;
             run.firstConclusiveRenewal = renewalCount + 1;
@@ -320,15 +317,15 @@
             return;
         }
         // The lease is extended only while the server responds, so the runs of a silent server end within one lease.
-        long leaseMillis = leaseMillis();
+        long leaseMillis = lease.maxMillis(runs.values());
         boolean extend = responding && !runs.isEmpty() && leaseMillis > 0;
         long waitMillis = responding && !runs.isEmpty() && !awaitsStoppedRuns() ? renewWaitMillis(extend) : 0;
         renewing = true;
         renewalCount++;
         long renewalNumber = renewalCount;
-        long deadlineMillis = extend ? deadlineMillis(leaseMillis) : 0;
+        long deadlineMillis = extend ? lease.deadlineMillis(leaseMillis) : 0;
         if (extend) {
-            recordDeadlineSent();
+            lease.recordDeadlineSent();
         }
         acknowledged = highestEndNumber;
         long tokenUsed = token;
@@ -380,7 +377,7 @@
         if (reply.startTimeMillis() != 0) {
             startTimeMillis = reply.startTimeMillis();
         }
-        recordServerClock(reply.clockMillis());
+        lease.recordServerClock(reply.clockMillis());
         State previousState = state;
         for (RunEnd end : reply.ended()) {
             onEnd(end);
@@ -493,41 +490,4 @@
         usedGpus = 0;
         return abandoned;
     }
-
-    private void recordDeadlineSent() {
-        deadlineSentAtMillis = clock.millis();
-    }
-
-    private void recordServerClock(long clockMillis) {
-        if (clockMillis > 0) {
-            serverClockMillis = clockMillis;
-            serverClockReadMillis = clock.millis();
-        }
-    }
-
-    /**
-     * Returns the lease for all runs on this server. It ends before any of their callers can have sent its job elsewhere,
-     * even if this process is suspended right after the renewal. Not positive if there is no contact with a caller.
-     */
-    private long leaseMillis() {
-        long leaseMillis = settings.leaseMillis();
-        for (Run run : runs.values()) {
-            if (!run.isStopping()) {
-                leaseMillis = Math.min(leaseMillis, leaseMillis(run));
-            }
-        }
-        return leaseMillis;
-    }
-
-    private long leaseMillis(Run run) {
-        return Math.min(
-                settings.leaseMillis(),
-                settings.contactValidityMillis()
-                        - contact.ageMillis(run.key.task().job()));
-    }
-
-    /** Returns the end of a lease that starts now, on the clock of the server. */
-    private long deadlineMillis(long leaseMillis) {
-        return serverClockMillis + (clock.millis() - serverClockReadMillis) + leaseMillis;
-    }
 }
