--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/SuspendedHostTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/SuspendedHostTest.java
@@ -2,17 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vertx.core.Vertx;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
-import org.banyanspoke.host.standins.LeasedServer;
 import org.banyanspoke.host.standins.ResendingCaller;
 import org.banyanspoke.host.standins.ResendingCaller.Job;
-import org.banyanspoke.host.standins.RunLedger;
-import org.banyanspoke.host.standins.StoreStandin;
+import org.banyanspoke.host.standins.TestSite;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -28,18 +22,12 @@
     private static final int CAPACITY_MILLICORES = 16_000;
     private static final int TASK_MILLICORES = 8_000;
     private static final int TASKS_PER_SERVER = CAPACITY_MILLICORES / TASK_MILLICORES;
-    private static final long START_MILLIS = 40_000;
-    private static final long STABLE_MILLIS = 1_500;
     private static final long JOB_MILLIS = 900;
     /** Time for the first tasks to start. */
     private static final long STARTED_MILLIS = 300;
 
-    private final Vertx vertx = Vertx.vertx();
-    private final RunLedger ledger = new RunLedger(true);
-    private final StoreStandin store = new StoreStandin(vertx);
     private final ResendingCaller callers = new ResendingCaller();
-    private final List<HostUnderTest> hosts = new ArrayList<>();
-    private int servers;
+    private TestSite site;
     private int jobs;
 
     /** Contains the output of the hosts; kept if a test fails. */
@@ -47,49 +35,14 @@
     Path folder;
 
     @BeforeEach
-    void startStore() throws Exception {
-        Eventually.await(store.start());
-        store.putConfiguration(1, 1.6);
+    void startSite() throws Exception {
+        site = new TestSite(folder, CAPACITY_MILLICORES, TASK_MILLICORES);
+        site.start();
     }
 
     @AfterEach
     void stopAndVerify() throws Exception {
-        for (HostUnderTest host : hosts) {
-            host.kill();
-        }
-        Eventually.await(vertx.close());
-        assertThat(ledger.violations()).isEmpty();
-    }
-
-    private void addServers(String zone, int count) throws Exception {
-        for (int i = 0; i < count; i++) {
-            LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
-            Eventually.await(server.start());
-            store.put("keyed.servers", "i-" + servers++, server.entry(zone));
-        }
-    }
-
-    private HostUnderTest startHost(String name, String zone, double processors) throws Exception {
-        HostUnderTest host = new HostUnderTest(name, folder);
-        host.settings(zone, processors, store.address());
-        host.start();
-        hosts.add(host);
-        return host;
-    }
-
-    private void awaitAllServersClaimed() throws Exception {
-        Eventually.stableWithin(START_MILLIS, STABLE_MILLIS, this::allServersClaimed, "all servers are claimed");
-    }
-
-    private boolean allServersClaimed() throws InterruptedException {
-        double capacity = 0;
-        for (HostUnderTest host : hosts) {
-            if (host.readiness() != 200 || host.metric("peers_heard") != hosts.size() - 1) {
-                return false;
-            }
-            capacity += host.metric("pool_capacity_millicores");
-        }
-        return capacity == (double) servers * CAPACITY_MILLICORES;
+        site.closeAndVerify();
     }
 
     private void send(int tasks, long runMillis, long deadlineMillis, HostUnderTest first, HostUnderTest next) {
@@ -114,11 +67,11 @@
 
         @BeforeEach
         void giveItTheJobsOfAFullZone() throws Exception {
-            addServers("a", 4);
-            addServers("b", 2);
-            dispatcher = startHost("dispatcher", "a", 1.0);
-            entryHost = startHost("entry", "b", 1.0);
-            awaitAllServersClaimed();
+            site.addServers("a", 4);
+            site.addServers("b", 2);
+            dispatcher = site.startHost("dispatcher", "a", 1.0);
+            entryHost = site.startHost("entry", "b", 1.0);
+            site.awaitServing();
             send(2 * TASKS_PER_SERVER, 2_400, DEADLINE_MILLIS, entryHost, entryHost);
             Thread.sleep(STARTED_MILLIS);
             for (int i = 0; i < JOBS; i++) {
@@ -165,12 +118,12 @@
 
         @BeforeEach
         void startTwoZones() throws Exception {
-            addServers("a", 4);
-            addServers("b", 4);
-            dispatcher = startHost("dispatcher", "a", 2.0);
-            entryHost = startHost("entry", "a", 0.5);
-            startHost("other", "b", 1.0);
-            awaitAllServersClaimed();
+            site.addServers("a", 4);
+            site.addServers("b", 4);
+            dispatcher = site.startHost("dispatcher", "a", 2.0);
+            entryHost = site.startHost("entry", "a", 0.5);
+            site.startHost("other", "b", 1.0);
+            site.awaitServing();
         }
 
         private void sendWhileSuspended(long millis) throws Exception {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SuspensionSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SuspensionSoakTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -10,11 +9,9 @@
 import java.util.Random;
 import org.banyanspoke.host.standins.Eventually;
 import org.banyanspoke.host.standins.HostUnderTest;
-import org.banyanspoke.host.standins.LeasedServer;
 import org.banyanspoke.host.standins.ResendingCaller;
 import org.banyanspoke.host.standins.ResendingCaller.Job;
-import org.banyanspoke.host.standins.RunLedger;
-import org.banyanspoke.host.standins.StoreStandin;
+import org.banyanspoke.host.standins.TestSite;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,8 +28,6 @@
 class SuspensionSoakTest {
     private static final List<Long> SEEDS = Seeds.parse(System.getProperty("suspension.seeds", "2,5"));
     private static final int EPISODES = Integer.getInteger("suspension.episodes", 3);
-    private static final long START_MILLIS = 60_000;
-    private static final long STABLE_MILLIS = 1_500;
     private static final long RECOVERY_MILLIS = 30_000;
 
     private static final int CAPACITY_MILLICORES = 16_000;
@@ -55,12 +50,9 @@
     /** In one of this many episodes, a host other than the dispatcher of the other zone is suspended, too. */
     private static final int OTHERS_SUSPENDED_DIVISOR = 3;
 
-    private final Vertx vertx = Vertx.vertx();
-    private final RunLedger ledger = new RunLedger(true);
-    private final StoreStandin store = new StoreStandin(vertx);
     private final List<HostUnderTest> fullZone = new ArrayList<>();
     private final List<HostUnderTest> otherZone = new ArrayList<>();
-    private int servers;
+    private TestSite site;
     private int jobs;
 
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
@@ -70,18 +62,9 @@
         return SEEDS;
     }
 
-    private List<HostUnderTest> hosts() {
-        List<HostUnderTest> all = new ArrayList<>(otherZone);
-        all.addAll(fullZone);
-        return all;
-    }
-
     @AfterEach
-    void stopProcesses() throws Exception {
-        for (HostUnderTest host : hosts()) {
-            host.kill();
-        }
-        Eventually.await(vertx.close());
+    void stopAndVerify() throws Exception {
+        site.closeAndVerify();
     }
 
     @ParameterizedTest(name = "seed {0}")
@@ -92,50 +75,26 @@
         int completed = 0;
         for (int episode = 0; episode < EPISODES; episode++) {
             completed += play(seed, random);
-            Eventually.within(RECOVERY_MILLIS, this::isServing, "the site has recovered");
+            Eventually.within(RECOVERY_MILLIS, site::isServing, "the site has recovered");
         }
         System.out.printf(
                 "seed %d: %d jobs, %d completed, violations %s, in %s%n",
-                seed, jobs, completed, ledger.violations(), folder);
-        assertThat(ledger.violations()).isEmpty();
+                seed, jobs, completed, site.violations(), folder);
+        assertThat(site.violations()).isEmpty();
     }
 
     private void startSite(int hostsPerZone) throws Exception {
-        Eventually.await(store.start());
-        store.putConfiguration(1, 1.6);
-        addServers("a", SERVERS_OF_OTHER_ZONE);
-        addServers("b", SERVERS_OF_FULL_ZONE);
+        site = new TestSite(folder, CAPACITY_MILLICORES, TASK_MILLICORES);
+        site.start();
+        site.addServers("a", SERVERS_OF_OTHER_ZONE);
+        site.addServers("b", SERVERS_OF_FULL_ZONE);
         for (int i = 0; i < hostsPerZone; i++) {
-            otherZone.add(startHost("other-" + i, "a"));
-            fullZone.add(startHost("full-" + i, "b"));
-        }
-        Eventually.stableWithin(START_MILLIS, STABLE_MILLIS, this::isServing, "all servers are claimed");
-    }
-
-    private void addServers(String zone, int count) throws Exception {
-        for (int i = 0; i < count; i++) {
-            LeasedServer server = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, 1_000);
-            Eventually.await(server.start());
-            store.put("keyed.servers", "i-" + servers++, server.entry(zone));
+            otherZone.add(site.startHost("other-" + i, "a", 1.0));
         }
-    }
-
-    private HostUnderTest startHost(String name, String zone) throws IOException {
-        HostUnderTest host = new HostUnderTest(name, folder);
-        host.settings(zone, 1.0, store.address());
-        host.start();
-        return host;
-    }
-
-    private boolean isServing() throws InterruptedException {
-        double capacity = 0;
-        for (HostUnderTest host : hosts()) {
-            if (host.readiness() != 200 || host.metric("peers_heard") != hosts().size() - 1) {
-                return false;
-            }
-            capacity += host.metric("pool_capacity_millicores");
+        for (int i = 0; i < hostsPerZone; i++) {
+            fullZone.add(site.startHost("full-" + i, "b", 1.0));
         }
-        return capacity == (double) servers * CAPACITY_MILLICORES;
+        site.awaitServing();
     }
 
     /** Plays one episode and returns the number of completed jobs. */
@@ -148,7 +107,7 @@
         }
         Thread.sleep(STARTED_MILLIS);
         List<Thread> suspenders = new ArrayList<>();
-        for (HostUnderTest host : hosts()) {
+        for (HostUnderTest host : site.hosts()) {
             boolean dispatchesForOthers = otherZone.contains(host) && host.metric("dispatcher_round") > 0;
             if (dispatchesForOthers || random.nextInt(OTHERS_SUSPENDED_DIVISOR) == 0) {
                 Random ownRandom = new Random(random.nextLong());
