--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
@@ -21,6 +21,8 @@
     private static final double LEASE_MARGIN_FACTOR = 1.04;
 
     private static final long LEASE_MARGIN_MILLIS = 100;
+    /** Leaves time for a second check before tasks no longer start. */
+    private static final int CONTACT_CHECKS_PER_VALIDITY = 5;
     /** Tasks start in the first half of the validity of the contact, so that the first lease can be renewed in time. */
     private static final int START_CONTACT_DIVISOR = 2;
 
@@ -33,4 +35,9 @@
     public long maxContactAgeAtStartMillis() {
         return contactValidityMillis / START_CONTACT_DIVISOR;
     }
+
+    /** Returns the age at which the contact with a job's caller is checked. */
+    public long contactCheckAgeMillis() {
+        return contactValidityMillis / CONTACT_CHECKS_PER_VALIDITY;
+    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -112,7 +112,11 @@
                 ((VertxInternal) vertx).nettyEventLoopGroup());
         this.store = new StoreClient(vertx, () -> settingsWatch.current().storeAddress());
         this.directory = new HostDirectory(settings.host());
-        JobContacts contacts = new JobContacts(settings.host(), elapsedClock, input::behindMillis);
+        JobContacts contacts = new JobContacts(
+                settings.host(),
+                elapsedClock,
+                input::behindMillis,
+                settings.pool().contactCheckAgeMillis());
         FencingTokens tokens = new FencingTokens(System::currentTimeMillis);
         ServerPool pool = ServerPool.create(
                 new HttpServerCommands(vertx),
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
@@ -20,18 +20,11 @@
 final class JobContacts implements CallerContact {
     /** Older than any contact. */
     private static final long NEVER = Long.MIN_VALUE / 2;
-    /** Age at which a contact is checked; leaves time for a second check before starts have to wait. */
-    private static final long CHECK_AGE_MILLIS = 200;
-    /** Age at which a contact is included in a check that another contact has caused, which saves a later check. */
-    private static final long INCLUDE_AGE_MILLIS = 100;
-    /** A contact of this age may delay the start of tasks. */
-    private static final long STALE_AGE_MILLIS = 2 * CHECK_AGE_MILLIS;
-    /** Period of checks without reply. */
-    private static final long CHECK_RETRY_MILLIS = 200;
 
     private final HostId self;
     private final MonotonicClock elapsedClock;
     private final LongSupplier ownInputAgeMillis;
+    private final long checkAgeMillis;
     private final Map<CallerJobId, Map<HostId, Contact>> contactsByJob = new HashMap<>();
     /** The same contacts, so that the work of a tick grows with the jobs and not with the jobs of each host. */
     private final Map<HostId, Map<CallerJobId, Contact>> contactsByHost = new HashMap<>();
@@ -61,11 +54,13 @@
      * @param self this host, whose own callers' connections end here
      * @param elapsedClock clock that also counts the time for which the machine was suspended
      * @param ownInputAgeMillis how long ago this process last read the connections of its callers, in milliseconds
+     * @param checkAgeMillis age at which a contact is checked; a check without reply is repeated after the same time
      */
-    JobContacts(HostId self, MonotonicClock elapsedClock, LongSupplier ownInputAgeMillis) {
+    JobContacts(HostId self, MonotonicClock elapsedClock, LongSupplier ownInputAgeMillis, long checkAgeMillis) {
         this.self = self;
         this.elapsedClock = elapsedClock;
         this.ownInputAgeMillis = ownInputAgeMillis;
+        this.checkAgeMillis = checkAgeMillis;
     }
 
     /**
@@ -138,12 +133,12 @@
 
     /** Returns whether the contact with the entry hosts of a job has to be checked. */
     boolean isCheckDue(CallerJobId job) {
-        return ageMillis(job) >= CHECK_AGE_MILLIS;
+        return ageMillis(job) >= checkAgeMillis;
     }
 
-    /** Returns whether one of these jobs may have waited for a contact. */
+    /** Returns whether a start of one of these jobs may have been delayed by the age of its contact. */
     boolean hasStale(Collection<CallerJobId> jobs) {
-        return jobs.stream().anyMatch(job -> ageMillis(job) >= STALE_AGE_MILLIS);
+        return jobs.stream().anyMatch(job -> ageMillis(job) >= 2 * checkAgeMillis);
     }
 
     /** Returns the checks that are due now, and counts them as sent. */
@@ -151,7 +146,7 @@
         long nowMillis = elapsedClock.millis();
         List<Check> checks = new ArrayList<>();
         contactsByHost.forEach((host, contacts) -> {
-            boolean awaitsReply = nowMillis - lastCheckMillis.getOrDefault(host, NEVER) < CHECK_RETRY_MILLIS;
+            boolean awaitsReply = nowMillis - lastCheckMillis.getOrDefault(host, NEVER) < checkAgeMillis;
             if (!host.equals(self) && !awaitsReply && isCheckDue(contacts.values(), nowMillis)) {
                 lastCheckMillis.put(host, nowMillis);
                 checks.add(new Check(host, jobsToCheck(contacts, nowMillis), nowMillis));
@@ -160,19 +155,20 @@
         return checks;
     }
 
-    private static boolean isCheckDue(Collection<Contact> contacts, long nowMillis) {
+    private boolean isCheckDue(Collection<Contact> contacts, long nowMillis) {
         for (Contact contact : contacts) {
-            if (nowMillis - contact.confirmedMillis >= CHECK_AGE_MILLIS) {
+            if (nowMillis - contact.confirmedMillis >= checkAgeMillis) {
                 return true;
             }
         }
         return false;
     }
 
-    private static List<CallerJobId> jobsToCheck(Map<CallerJobId, Contact> contacts, long nowMillis) {
+    /** Includes contacts that would soon be due, which saves a check of their own. */
+    private List<CallerJobId> jobsToCheck(Map<CallerJobId, Contact> contacts, long nowMillis) {
         List<CallerJobId> jobs = new ArrayList<>();
         contacts.forEach((job, contact) -> {
-            if (nowMillis - contact.confirmedMillis >= INCLUDE_AGE_MILLIS) {
+            if (nowMillis - contact.confirmedMillis >= checkAgeMillis / 2) {
                 jobs.add(job);
             }
         });
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobContactsTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobContactsTest.java
@@ -21,7 +21,7 @@
     private long nowMillis = 50_000;
     private long ownInputAgeMillis = 3;
     private final JobContacts contacts =
-            new JobContacts(SELF, () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> ownInputAgeMillis);
+            new JobContacts(SELF, () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> ownInputAgeMillis, 200);
 
     private JobContacts.Check takeOnlyCheck() {
         List<JobContacts.Check> checks = contacts.takeDueChecks();
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -106,7 +106,7 @@
     private JobForwarder newForwarder() {
         HostDirectory directory = new HostDirectory(SELF);
         FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L);
-        JobContacts contacts = new JobContacts(SELF, clock, input::behindMillis);
+        JobContacts contacts = new JobContacts(SELF, clock, input::behindMillis, 200);
         ServerRegistry registry = new ServerRegistry(clock);
         registry.onAll(List.of(new StoreClient.Entry(
                 "i-1",
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -74,4 +74,34 @@
                 .build();
         assertThatThrownBy(() -> PoolMessages.decodeOutcome(unknown)).isInstanceOf(IllegalArgumentException.class);
     }
+
+    @Test
+    void clockReadingsAreCarried() {
+        HostState state = new HostState(new HostId("h"), new ZoneId("a"), 3, 1_500, false, 0, Set.of(), PoolLoad.NONE);
+        assertThat(PoolMessages.encode(state, 1_234_567).getSentMillis()).isEqualTo(1_234_567);
+        PooledJob job = new PooledJob(
+                new CallerJobId("00000000000000aa"),
+                new QueuePolicy("q", "s", 2, 3, 1.6, 60),
+                "payload",
+                8,
+                new TaskRequirements(6_800, 64, 1, 100, "label", "rack", 2),
+                12,
+                1_500);
+        assertThat(PoolMessages.encode(job, 1_234_567).getDispatcherMillis()).isEqualTo(1_234_567);
+    }
+
+    @Test
+    void checkOfJobsSurvivesRoundTrip() {
+        Set<CallerJobId> jobs = Set.of(new CallerJobId("00000000000000aa"), new CallerJobId("00000000000000bb"));
+        Frame frame =
+                Frame.newBuilder().setPoolJobCheck(PoolMessages.encode(jobs)).build();
+        assertThat(PoolMessages.decodeCheck(frame)).isEqualTo(jobs);
+    }
+
+    /** Such a reply would name no job, so all jobs of the host would be cancelled. */
+    @Test
+    void aReplyOfAnotherTypeIsNotACheck() {
+        assertThatThrownBy(() -> PoolMessages.decodeCheck(Frame.getDefaultInstance()))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -39,7 +39,7 @@
     private long nowMillis = 5_000;
     private long wallClockMillis = 1_800_000_000_000L;
     private final JobContacts contacts =
-            new JobContacts(new HostId("weak"), () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> 0);
+            new JobContacts(new HostId("weak"), () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> 0, 200);
     private final ZoneDispatcher dispatcher = new ZoneDispatcher(
             new HostId("weak"),
             ZONE,
