--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
@@ -18,6 +18,7 @@
  * @param draining whether it accepts no new tasks
  * @param startTimeMillis Unix time at which its process started, in milliseconds; changes when a server restarts under
  *     the same id
+ * @param coldRemainingMillis time for which it remains slow after a period out of use; 0 if it runs at full speed
  */
 public record ServerDescriptor(
         ServerId id,
@@ -29,7 +30,55 @@
         int memoryMegabytes,
         int gpus,
         boolean draining,
-        long startTimeMillis) {
+        long startTimeMillis,
+        long coldRemainingMillis) {
+    /** Creates a descriptor of a server that runs at full speed. */
+    public ServerDescriptor(
+            ServerId id,
+            String service,
+            String address,
+            ZoneId zone,
+            List<String> labels,
+            int cpuMillicores,
+            int memoryMegabytes,
+            int gpus,
+            boolean draining,
+            long startTimeMillis) {
+        this(id, service, address, zone, labels, cpuMillicores, memoryMegabytes, gpus, draining, startTimeMillis, 0);
+    }
+
+    /** Returns the descriptor with another processor capacity, in thousandths of a core. */
+    public ServerDescriptor withCpuMillicores(int millicores) {
+        return new ServerDescriptor(
+                id,
+                service,
+                address,
+                zone,
+                labels,
+                millicores,
+                memoryMegabytes,
+                gpus,
+                draining,
+                startTimeMillis,
+                coldRemainingMillis);
+    }
+
+    /** Returns the descriptor with another time for which the server remains slow. */
+    public ServerDescriptor withColdRemainingMillis(long millis) {
+        return new ServerDescriptor(
+                id,
+                service,
+                address,
+                zone,
+                labels,
+                cpuMillicores,
+                memoryMegabytes,
+                gpus,
+                draining,
+                startTimeMillis,
+                millis);
+    }
+
     /** Returns the label that names the hardware kind, which determines the speed; empty if there is none. */
     public String hardwareKind() {
         return labels.isEmpty() ? "" : labels.get(0);
