A pool suspends and resumes starts

Cause: the dispatcher of an evacuated zone must not start tasks, while the runs there end.

Change: ServerPool.permitStarts. Queued jobs without a started task are refused at once, jobs with a task that cannot start any more are abandoned, other runs go on.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolSettings.java
@@ -31,6 +31,11 @@
         return (long) (leaseMillis * LEASE_MARGIN_FACTOR) + LEASE_MARGIN_MILLIS;
     }
 
+    /** Returns the longest lease of a run, which is also the longest time after which a start command takes effect. */
+    public long maxRunLeaseMillis() {
+        return Math.min(leaseMillis, contactValidityMillis);
+    }
+
     /** Returns the greatest age of the contact with a job's caller with which tasks of the job are started. */
     public long maxContactAgeAtStartMillis() {
         return contactValidityMillis / START_CONTACT_DIVISOR;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerPool.java
@@ -44,6 +44,15 @@
      */
     void submit(PooledJob job, Consumer<JobOutcome> onOutcome);
 
+    /**
+     * Restricts the tasks that start from now on, until the next call. Jobs with pending tasks that may not start end at
+     * once: those without a started task are refused, the others are abandoned and their runs stopped. Runs of other
+     * jobs continue and their leases are renewed. New jobs are refused unless {@link StartPermission#ALL_JOBS} applies.
+     *
+     * @param reason reason of the restriction, given to the callers
+     */
+    void permitStarts(StartPermission permission, String reason);
+
     /** Cancels a job and stops its runs if it is in progress. */
     void cancel(CallerJobId id, String reason);
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -22,6 +22,7 @@
 import org.banyanspoke.core.pool.ServerCommands.EndKind;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.StartPermission;
 import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.core.time.MonotonicClock;
 
@@ -37,6 +38,8 @@
     private static final int STALL_PROGRESS_PERCENT = 60;
     /** Minimum retry delay returned with a refusal. */
     private static final long MIN_RETRY_AFTER_MILLIS = 200;
+    /** Retry delay returned while starts are suspended; by then the entry hosts send jobs to other dispatchers. */
+    private static final long SUSPENDED_RETRY_AFTER_MILLIS = 1_000;
 
     private final ServerCommands commands;
     private final FencingTokenSource tokens;
@@ -53,6 +56,8 @@
     private final RunTimeModel runTimes = new RunTimeModel();
     private final ServerSelector selector;
     private final OwnedServer.Listener serverListener = new ServerListener();
+    private StartPermission startPermission = StartPermission.ALL_JOBS;
+    private String restrictionReason = "";
     private boolean dispatching;
     private boolean dispatchAgain;
 
@@ -139,6 +144,10 @@
             end(progress, JobOutcome.abandoned("runs of an earlier submission of this job are still being stopped"));
             return;
         }
+        if (startPermission != StartPermission.ALL_JOBS) {
+            refuse(progress, restrictionReason, SUSPENDED_RETRY_AFTER_MILLIS);
+            return;
+        }
         long waitMillis = expectedWaitMillis(progress, nowMillis);
         progress.setExpectedWaitMillis(waitMillis);
         if (waitMillis == JobProgress.NO_SERVER) {
@@ -197,6 +206,30 @@
                 * job.requirements().estimateMillis();
     }
 
+    @Override
+    public void permitStarts(StartPermission permission, String reason) {
+        startPermission = permission;
+        restrictionReason = reason;
+        endJobsThatMayNotStart();
+        dispatch();
+    }
+
+    private void endJobsThatMayNotStart() {
+        if (startPermission == StartPermission.ALL_JOBS) {
+            return;
+        }
+        for (JobProgress progress : List.copyOf(jobs.values())) {
+            if (progress.isEnded() || progress.pendingTasks() == 0 || startPermission.allows(progress.started())) {
+                continue;
+            }
+            if (progress.started()) {
+                end(progress, JobOutcome.abandoned(restrictionReason));
+            } else {
+                refuse(progress, restrictionReason, SUSPENDED_RETRY_AFTER_MILLIS);
+            }
+        }
+    }
+
     @Override
     public void cancel(CallerJobId id, String reason) {
         JobProgress progress = jobs.get(id);
@@ -263,6 +296,7 @@
         removeIdleReleasing();
         reclaim(nowMillis);
         endExpiredJobs(nowMillis);
+        endJobsThatMayNotStart();
         stopStalledRuns(nowMillis);
         dispatch();
     }
@@ -330,7 +364,7 @@
     }
 
     private void dispatchOnce() {
-        if (queue.isEmpty()) {
+        if (queue.isEmpty() || startPermission == StartPermission.NONE) {
             return;
         }
         ServerSelector.Candidates candidates = selector.candidates(servers.values(), queue.minCpuMillicores());
