A zone's dispatcher obeys the operator's evacuation record

Cause: there was no way to take the servers of a zone out of use.

Change: EvacuationWatch reads the records from the follower of the configuration; ZoneDispatcher reports a capacity of 0, refuses queued jobs and stops starts after 1,000 ms, less if the record may be old. A host reports its registration only once it has read the topic, so it does not dispatch before. An entry host refuses a job at once if every zone with a dispatcher is evacuated. Without the record nothing changes but that registration waits for the first read.

The fakes of ServerPool in ZoneDispatcherTest and JobForwarderTest have the new method; no check of theirs has changed.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -11,10 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.Incarnation;
+import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostFailureDetector;
 import org.banyanspoke.core.ownership.JobRouter;
 import org.banyanspoke.core.ownership.ZoneElection;
+import org.banyanspoke.core.ownership.ZoneEvacuation;
 import org.banyanspoke.core.pool.ServerPool;
 import org.banyanspoke.core.pool.SiteConfig;
 import org.banyanspoke.core.time.ElapsedClock;
@@ -61,6 +63,11 @@
     /** Time reserved for the exit before the platform kills the process. */
     private static final long EXIT_MARGIN_MILLIS = 700;
 
+    /** Sub-second tasks of started jobs end within this time after a request to evacuate the zone. */
+    private static final long EVACUATION_GRACE_MILLIS = 1_000;
+    /** The grace period takes at most this part of the time until the last start; reading the request takes the rest. */
+    private static final int EVACUATION_GRACE_DIVISOR = 4;
+
     private static final EventLog LOG = EventLog.of(HostProcess.class);
 
     private final PlatformSettings settings;
@@ -83,6 +90,7 @@
     private final StoreClient store;
     private final ConfigWatch config = new ConfigWatch();
     private final ServerRegistry registry = new ServerRegistry(clock);
+    private final EvacuationWatch evacuations;
     private final RequestLog requestLog = new RequestLog(clock);
     private final HostMetrics metrics = new HostMetrics();
     private final HostDirectory directory;
@@ -90,6 +98,7 @@
     private final HostStateExchange exchange;
     private final JobForwarder jobs;
     private final CallerServer callers;
+    private long registration;
     private long registeredMillis = Long.MAX_VALUE;
     /** Whether this host takes part in the election of its zone's dispatcher. */
     private boolean informed;
@@ -126,6 +135,11 @@
                 input::readUntilNanos,
                 contacts,
                 new CompositePoolListener(List.of(new PoolEventLog(requestLog), metrics)));
+        long lastStartMillis = settings.evacuateMillis() - settings.pool().maxRunLeaseMillis();
+        ZoneEvacuation evacuation = new ZoneEvacuation(
+                Math.min(EVACUATION_GRACE_MILLIS, lastStartMillis / EVACUATION_GRACE_DIVISOR),
+                lastStartMillis,
+                elapsedClock);
         this.dispatcher = new ZoneDispatcher(
                 settings.host(),
                 settings.zone(),
@@ -134,8 +148,10 @@
                 contacts,
                 tokens,
                 registry,
+                evacuation,
                 clock,
                 System::currentTimeMillis);
+        this.evacuations = new EvacuationWatch(settings.zone(), elapsedClock, this::onEvacuationRead);
         HostFailureDetector failureDetector = new HostFailureDetector(clock, dispatcher::waitingHosts);
         this.exchange = new HostStateExchange(
                 transport, context, directory, failureDetector, dispatcher::state, elapsedClock, guard);
@@ -147,6 +163,7 @@
                 exchange,
                 dispatcher,
                 config,
+                evacuations,
                 new JobRouter(settings.zone()),
                 new EntryObserver(requestLog, metrics),
                 clock,
@@ -178,7 +195,11 @@
                     LOG.event(Logger.Level.FATAL, "cannot listen").cause(e).write();
                     Runtime.getRuntime().halt(Main.EXIT_START_FAILED);
                 });
-        follow(SiteTopics.OPERATORS, CONFIG_POLL_WAIT_MILLIS, () -> 0, config);
+        follow(
+                SiteTopics.OPERATORS,
+                CONFIG_POLL_WAIT_MILLIS,
+                () -> 0,
+                new CompositeTopicListener(List.of(config, evacuations), guard));
         follow(SiteTopics.SERVERS, 0, this::serversPollMillis, registry);
         follow(SiteTopics.HOSTS, 0, () -> HOSTS_POLL_MILLIS, directory);
         register();
@@ -203,6 +224,8 @@
                 "pool.capacity_millicores", () -> dispatcher.state().load().capacityMillicores());
         metrics.gauge("pool.free_millicores", () -> dispatcher.state().load().freeMillicores());
         metrics.gauge("pool.queued_core_millis", () -> dispatcher.state().load().queuedCoreMillis());
+        metrics.gauge("pool.jobs_refused_by_evacuation", dispatcher::refusedByEvacuation);
+        metrics.gauge("zone.evacuated", () -> evacuations.isOwnZoneEvacuated() ? 1 : 0);
         metrics.gauge("pool.queued_jobs", () -> dispatcher.state().load().queuedJobs());
         String peerAddress = settings.peerAddress();
         metrics.serve(vertx, peerAddress.substring(0, peerAddress.lastIndexOf(':')), metricsPort);
@@ -228,9 +251,26 @@
 
     private void onRegistered(long offset) {
         // Registration numbers start at 1; 0 means not registered.
-        dispatcher.setRegistration(offset + 1);
+        registration = offset + 1;
+        LOG.event(Logger.Level.INFO, "registered").with("number", registration).write();
+        announceRegistration();
+    }
+
+    private void onEvacuationRead(boolean requested, long offset, long absentAtMillis) {
+        dispatcher.onEvacuationRead(requested, offset, absentAtMillis);
+        announceRegistration();
+    }
+
+    /**
+     * Takes part in the election once this host is registered and knows whether its zone is evacuated. Until then the
+     * others do not wait for it to dispatch.
+     */
+    private void announceRegistration() {
+        if (registration == 0 || !evacuations.hasRead() || registeredMillis != Long.MAX_VALUE) {
+            return;
+        }
+        dispatcher.setRegistration(registration);
         registeredMillis = clock.millis();
-        LOG.event(Logger.Level.INFO, "registered").with("number", offset + 1).write();
         exchange.broadcast();
     }
 
@@ -249,11 +289,19 @@
         guard.run("dispatch", () -> dispatcher.tick(exchange::isAlive));
         guard.run("check contacts", jobs::checkContacts);
         guard.run("place jobs", jobs::tick);
+        guard.run("check evacuated zones", () -> evacuations.checkNames(this::isNamed));
         if (stopRequestedMillis >= 0) {
             stopIfDone();
         }
     }
 
+    /** Returns whether this host, another live one or a server names a zone. */
+    private boolean isNamed(ZoneId zone) {
+        return zone.equals(settings.zone())
+                || exchange.liveStates().stream().anyMatch(each -> each.zone().equals(zone))
+                || !registry.serversIn(zone).isEmpty();
+    }
+
     private void reconcile() {
         if (!informed && !isInformed()) {
             return;
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -40,6 +40,11 @@
 
     private static final JobOutcome CANCELLED =
             JobOutcome.refused("the job was cancelled before it was sent to a dispatcher", 0);
+    /** An evacuation lasts far longer than a store needs to deliver its withdrawal. */
+    private static final long EVACUATED_RETRY_MILLIS = 5_000;
+
+    private static final JobOutcome ALL_ZONES_EVACUATED =
+            JobOutcome.refused("every zone with a dispatcher is evacuated", EVACUATED_RETRY_MILLIS);
     private static final JobOutcome NO_DISPATCHER =
             JobOutcome.refused("no dispatcher is available", NO_DISPATCHER_RETRY_MILLIS);
 
@@ -50,6 +55,7 @@
     private final HostStateExchange exchange;
     private final ZoneDispatcher dispatcher;
     private final ConfigWatch config;
+    private final EvacuationWatch evacuations;
     private final JobRouter router;
     private final EntryObserver observer;
     private final MonotonicClock clock;
@@ -67,6 +73,7 @@
             HostStateExchange exchange,
             ZoneDispatcher dispatcher,
             ConfigWatch config,
+            EvacuationWatch evacuations,
             JobRouter router,
             EntryObserver observer,
             MonotonicClock clock,
@@ -79,6 +86,7 @@
         this.exchange = exchange;
         this.dispatcher = dispatcher;
         this.config = config;
+        this.evacuations = evacuations;
         this.router = router;
         this.observer = observer;
         this.clock = clock;
@@ -172,10 +180,13 @@
     }
 
     private void sendToNextDispatcher(OpenJob job, JobOutcome fallback) {
-        Optional<HostState> target = job.placement().nextDispatcher(dispatchers());
+        Collection<HostState> dispatchers = dispatchers();
+        Optional<HostState> target = job.placement().nextDispatcher(dispatchers);
         if (target.isPresent()) {
             job.setDispatcher(target.get());
             send(job, target.get().host());
+        } else if (fallback.equals(NO_DISPATCHER) && evacuations.coverAllDispatchers(dispatchers)) {
+            end(job, ALL_ZONES_EVACUATED);
         } else if (job.placement().shouldWait()) {
             waiting.add(job);
         } else {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ServerRegistry.java
@@ -34,9 +34,14 @@
     private final MonotonicClock clock;
     private final Map<ServerId, ServerDescriptor> servers = new HashMap<>();
     private final Map<ServerId, Long> missingSinceMillis = new HashMap<>();
+    /** Times at which slow servers are at full speed again, counted from the receipt of their entries. */
+    private final Map<ServerId, Long> coldUntilMillis = new HashMap<>();
+
     private final Set<String> invalidKeys = new HashSet<>();
     /** Newest records, decoded on demand; hosts that do not dispatch never decode them. */
-    private final Map<String, StoreClient.Entry> pending = new LinkedHashMap<>();
+    private final Map<String, Received> pending = new LinkedHashMap<>();
+
+    private record Received(StoreClient.Entry entry, long atMillis) {}
 
     ServerRegistry(MonotonicClock clock) {
         this.clock = clock;
@@ -47,7 +52,7 @@
         pending.clear();
         Set<ServerId> listed = new HashSet<>();
         for (StoreClient.Entry entry : entries) {
-            applyEntry(entry).ifPresent(listed::add);
+            applyEntry(entry, clock.millis()).ifPresent(listed::add);
         }
         servers.keySet().stream().filter(id -> !listed.contains(id)).forEach(this::markMissing);
     }
@@ -58,20 +63,20 @@
             if (entry.value().length == 0) {
                 // The grace period starts at the removal, so removals are not deferred.
                 applyIfPresent(pending.remove(entry.key()));
-                applyEntry(entry);
+                applyEntry(entry, clock.millis());
             } else {
-                pending.put(entry.key(), entry);
+                pending.put(entry.key(), new Received(entry, clock.millis()));
             }
         }
     }
 
-    private void applyIfPresent(StoreClient.Entry entry) {
-        if (entry != null) {
-            applyEntry(entry);
+    private void applyIfPresent(Received received) {
+        if (received != null) {
+            applyEntry(received.entry(), received.atMillis());
         }
     }
 
-    private Optional<ServerId> applyEntry(StoreClient.Entry entry) {
+    private Optional<ServerId> applyEntry(StoreClient.Entry entry, long receivedMillis) {
         try {
             ServerId id = SiteTopics.serverId(entry);
             Optional<ServerDescriptor> server = SiteTopics.server(entry);
@@ -80,6 +85,7 @@
                 return Optional.empty();
             }
             servers.put(id, server.get());
+            coldUntilMillis.put(id, receivedMillis + server.get().coldRemainingMillis());
             missingSinceMillis.remove(id);
             return Optional.of(id);
         } catch (PlatformException e) {
@@ -117,15 +123,22 @@
             boolean expired = nowMillis - each.getValue() >= REMOVAL_GRACE_MILLIS;
             if (expired) {
                 servers.remove(each.getKey());
+                coldUntilMillis.remove(each.getKey());
             }
             return expired;
         });
         List<ServerDescriptor> inZone = new ArrayList<>();
         for (ServerDescriptor server : servers.values()) {
             if (server.zone().equals(zone)) {
-                inZone.add(server);
+                inZone.add(withRemainingColdTime(server, nowMillis));
             }
         }
         return inZone;
     }
+
+    private ServerDescriptor withRemainingColdTime(ServerDescriptor server, long nowMillis) {
+        return server.coldRemainingMillis() == 0
+                ? server
+                : server.withColdRemainingMillis(Math.max(0, coldUntilMillis.get(server.id()) - nowMillis));
+    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/TopicFollower.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/TopicFollower.java
@@ -16,6 +16,12 @@
 
         /** Receives the records appended since the last call. */
         void onChanges(List<StoreClient.Entry> entries);
+
+        /** Called before {@link #onAll} if the log has become shorter, so that earlier offsets mean nothing any more. */
+        default void onReplaced() {}
+
+        /** Called after each successful read, once its records have been received. */
+        default void onUpToDate() {}
     }
 
     /** Many times the response time of a healthy store. Also the delay until an unresponsive connection is detected. */
@@ -34,6 +40,8 @@
     private final ErrorGuard guard;
     /** Offset of the next read; negative until the newest records have been read. */
     private long nextOffset = -1;
+    /** Offset up to which the log has been read. */
+    private long readUntil;
 
     private long retryMillis = MIN_RETRY_MILLIS;
     private boolean reachable = true;
@@ -71,8 +79,12 @@
 
     private void onNewest(StoreClient.Page page) {
         onSuccess();
-        nextOffset = page.nextOffset();
+        if (page.nextOffset() < readUntil) {
+            guard.run("replacement of " + topic, listener::onReplaced);
+        }
+        advance(page);
         guard.run("records of " + topic, () -> listener.onAll(page.entries()));
+        guard.run("read of " + topic, listener::onUpToDate);
         scheduleRead(pauseMillis.getAsLong());
     }
 
@@ -87,13 +99,19 @@
             readNext();
             return;
         }
-        nextOffset = page.nextOffset();
+        advance(page);
         if (!page.entries().isEmpty()) {
             guard.run("records of " + topic, () -> listener.onChanges(page.entries()));
         }
+        guard.run("read of " + topic, listener::onUpToDate);
         scheduleRead(pauseMillis.getAsLong());
     }
 
+    private void advance(StoreClient.Page page) {
+        nextOffset = page.nextOffset();
+        readUntil = nextOffset;
+    }
+
     private void onSuccess() {
         retryMillis = MIN_RETRY_MILLIS;
         if (!reachable) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -16,12 +16,14 @@
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostState;
 import org.banyanspoke.core.ownership.ZoneElection;
+import org.banyanspoke.core.ownership.ZoneEvacuation;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.StartPermission;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.daemon.logging.EventLog;
 import org.jboss.logging.Logger;
@@ -36,6 +38,7 @@
     private static final long CATCH_UP_MILLIS = 150;
 
     private static final long NEVER = Long.MAX_VALUE;
+    private static final String EVACUATED = "the zone is being evacuated";
 
     private final HostId host;
     private final ZoneId zone;
@@ -44,6 +47,7 @@
     private final JobContacts contacts;
     private final FencingTokens tokens;
     private final ServerRegistry registry;
+    private final ZoneEvacuation evacuation;
     private final MonotonicClock clock;
     private final LongSupplier wallClockMillis;
     private long registration;
@@ -54,6 +58,9 @@
     private long lastTickMillis = NEVER;
     private long lastTickWallMillis;
     private long catchUpEndMillis;
+    private StartPermission startPermission;
+    private long evacuationOffset;
+    private long refusedByEvacuation;
 
     ZoneDispatcher(
             HostId host,
@@ -63,6 +70,7 @@
             JobContacts contacts,
             FencingTokens tokens,
             ServerRegistry registry,
+            ZoneEvacuation evacuation,
             MonotonicClock clock,
             LongSupplier wallClockMillis) {
         this.host = host;
@@ -72,9 +80,11 @@
         this.contacts = contacts;
         this.tokens = tokens;
         this.registry = registry;
+        this.evacuation = evacuation;
         this.clock = clock;
         this.wallClockMillis = wallClockMillis;
         this.catchUpEndMillis = clock.millis();
+        permitStarts();
     }
 
     /** Sets the registration number that the store assigned to this process. */
@@ -103,7 +113,45 @@
     }
 
     private PoolLoad load() {
-        return round > 0 ? pool.load() : PoolLoad.NONE;
+        return round > 0 && !evacuation.isRequested() ? pool.load() : PoolLoad.NONE;
+    }
+
+    /** Returns the number of jobs that were refused here because of an evacuation. */
+    long refusedByEvacuation() {
+        return refusedByEvacuation;
+    }
+
+    /**
+     * Applies the state of the zone's evacuation that has been read from the store.
+     *
+     * @param offset position of the newest record of the zone in the log
+     * @param absentAtMillis time of the previous read; {@link ZoneEvacuation#NEVER} if there was none
+     */
+    void onEvacuationRead(boolean requested, long offset, long absentAtMillis) {
+        evacuationOffset = offset;
+        evacuation.update(requested, hasClaim(), absentAtMillis);
+        permitStarts();
+    }
+
+    private void permitStarts() {
+        StartPermission permission = evacuation.permission();
+        if (permission == startPermission) {
+            return;
+        }
+        startPermission = permission;
+        pool.permitStarts(permission, EVACUATED);
+        if (hasClaim()) {
+            logEvacuationInForce();
+        }
+    }
+
+    private void logEvacuationInForce() {
+        if (evacuation.isRequested() && startPermission == StartPermission.NONE) {
+            LOG.event(Logger.Level.INFO, "evacuation in force")
+                    .with("zone", zone)
+                    .with("offset", evacuationOffset)
+                    .write();
+        }
     }
 
     /** Returns whether this host has claimed dispatching, including while it only hands servers over. */
@@ -143,6 +191,7 @@
                     .with("round", round)
                     .with("heard", peerStates.size())
                     .write();
+            logEvacuationInForce();
         } else if (!dispatches && round > 0) {
             stopDispatching();
         }
@@ -207,7 +256,7 @@
         List<ServerDescriptor> entries = new ArrayList<>();
         for (ServerDescriptor server : registry.serversIn(zone)) {
             if (wanted.test(server)) {
-                entries.add(server);
+                entries.add(evacuation.usable(server));
             }
         }
         assigned = entries.stream().map(ServerDescriptor::id).collect(Collectors.toUnmodifiableSet());
@@ -218,6 +267,7 @@
     void tick(Predicate<HostId> isAlive) {
         detectPause();
         recordTick(clock.millis(), wallClockMillis.getAsLong());
+        permitStarts();
         for (HostId waiting : contacts.hosts()) {
             if (!waiting.equals(host) && !isAlive.test(waiting)) {
                 contacts.jobsOf(waiting)
@@ -274,6 +324,7 @@
         Consumer<JobOutcome> endOnce = outcome -> {
             if (ended.compareAndSet(false, true)) {
                 contacts.remove(job.id());
+                countRefusal(outcome);
                 onEnded.accept(outcome);
             }
         };
@@ -285,6 +336,12 @@
         }
     }
 
+    private void countRefusal(JobOutcome outcome) {
+        if (outcome.kind() == JobOutcome.Kind.REFUSED && outcome.reason().equals(EVACUATED)) {
+            refusedByEvacuation++;
+        }
+    }
+
     /** Stops a job whose submission failed halfway, so that it does not run on without anybody waiting for it. */
     private void abandon(CallerJobId job, RuntimeException error) {
         LOG.event(Logger.Level.ERROR, "unexpected error while a job was submitted")
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -19,6 +19,7 @@
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostFailureDetector;
 import org.banyanspoke.core.ownership.JobRouter;
+import org.banyanspoke.core.ownership.ZoneEvacuation;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.EntryJobService;
 import org.banyanspoke.core.pool.JobOutcome;
@@ -27,6 +28,7 @@
 import org.banyanspoke.core.pool.QueuePolicy;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.StartPermission;
 import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.core.time.MonotonicClock;
 import org.banyanspoke.peer.FrameFilter;
@@ -53,6 +55,7 @@
     private final RecordingPool pool = new RecordingPool();
     private final PeerTransport transport = newTransport(SELF);
     private final List<JobOutcome> outcomes = new ArrayList<>();
+    private EvacuationWatch evacuations;
     private final JobForwarder forwarder = newForwarder();
 
     /** Records the submitted jobs. */
@@ -73,6 +76,9 @@
             cancelled.add(id);
         }
 
+        @Override
+        public void permitStarts(StartPermission permission, String reason) {}
+
         @Override
         public void release(String reason) {}
 
@@ -113,8 +119,20 @@
                 ("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"state\":\"ready\","
                                 + "\"capacity\":{\"cpu\":16000,\"mem_mb\":1000}}")
                         .getBytes(StandardCharsets.UTF_8))));
+        ZoneEvacuation evacuation = new ZoneEvacuation(1_000, 4_000, clock);
         ZoneDispatcher dispatcher = new ZoneDispatcher(
-                SELF, ZONE, 1_000, pool, contacts, tokens, registry, clock, () -> 1_800_000_000_000L + nowMillis);
+                SELF,
+                ZONE,
+                1_000,
+                pool,
+                contacts,
+                tokens,
+                registry,
+                evacuation,
+                clock,
+                () -> 1_800_000_000_000L + nowMillis);
+        evacuations = new EvacuationWatch(ZONE, clock, dispatcher::onEvacuationRead);
+        evacuations.onAll(List.of());
         dispatcher.setRegistration(1);
         dispatcher.reconcile(List.of());
         HostStateExchange exchange = new HostStateExchange(
@@ -133,6 +151,7 @@
                 exchange,
                 dispatcher,
                 new ConfigWatch(),
+                evacuations,
                 new JobRouter(ZONE),
                 new EntryObserver(new RequestLog(clock), new HostMetrics()),
                 clock,
@@ -259,6 +278,37 @@
         }
     }
 
+    /** The link to the other zones is cut: such jobs waited 0.9 s for another dispatcher. */
+    @Nested
+    class InAnEvacuatedZoneWithoutOtherDispatchers {
+        private StoreClient.Entry request(long offset) {
+            return new StoreClient.Entry("evacuate/a", "{}".getBytes(StandardCharsets.UTF_8), offset);
+        }
+
+        @BeforeEach
+        void requestEvacuation() throws Exception {
+            pass(20);
+            pass(20);
+            evacuations.onChanges(List.of(request(7)));
+        }
+
+        @Test
+        void aJobIsRefusedAtOnce() {
+            submit();
+            assertThat(pool.submitted).isEmpty();
+            assertThat(outcomes).hasSize(1).allMatch(outcome -> outcome.kind() == JobOutcome.Kind.REFUSED);
+            assertThat(outcomes.get(0).retryAfterMillis()).isPositive();
+            assertThat(forwarder.waitingJobs()).isZero();
+        }
+
+        @Test
+        void aJobIsServedAfterTheWithdrawal() {
+            evacuations.onChanges(List.of(new StoreClient.Entry("evacuate/a", new byte[0], 8)));
+            submit();
+            assertThat(pool.submitted).containsExactly(JOB);
+        }
+    }
+
     /** The check of such a host's jobs was never sent, so none of them was started. */
     @Test
     void asksAnEntryHostThatTheDirectoryDoesNotName() throws Exception {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ServerRegistryTest.java
@@ -44,6 +44,21 @@
         assertThat(registry.serversIn(ZONE)).hasSize(1);
     }
 
+    /** A host that takes over as dispatcher decodes entries long after it has received them. */
+    @Test
+    void countsTheTimeOfASlowServerFromTheReceiptOfItsEntry() {
+        registry.onAll(List.of());
+        String slow = new String(entry("i-1").value(), StandardCharsets.UTF_8)
+                .replace("{\"service\"", "{\"cold_remaining_ms\":3000,\"service\"");
+        registry.onChanges(List.of(new StoreClient.Entry("i-1", slow.getBytes(StandardCharsets.UTF_8))));
+        nowMillis.addAndGet(1_000);
+        assertThat(registry.serversIn(ZONE).get(0).coldRemainingMillis()).isEqualTo(2_000);
+        nowMillis.addAndGet(2_500);
+        assertThat(registry.serversIn(ZONE).get(0).coldRemainingMillis()).isZero();
+        registry.onChanges(List.of(new StoreClient.Entry("i-1", slow.getBytes(StandardCharsets.UTF_8)), entry("i-1")));
+        assertThat(registry.serversIn(ZONE).get(0).coldRemainingMillis()).isZero();
+    }
+
     @Test
     void ignoresAnInvalidEntry() {
         registry.onAll(List.of(new StoreClient.Entry("i-0", new byte[] {1, 2}), entry("i-1")));
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -15,6 +15,7 @@
 import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.ownership.ZoneEvacuation;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -22,6 +23,7 @@
 import org.banyanspoke.core.pool.QueuePolicy;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
+import org.banyanspoke.core.pool.StartPermission;
 import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.platform.StoreClient;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +42,8 @@
     private long wallClockMillis = 1_800_000_000_000L;
     private final JobContacts contacts =
             new JobContacts(new HostId("weak"), () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> 0, 200);
+    private final ZoneEvacuation evacuation =
+            new ZoneEvacuation(1_000, 4_000, () -> TimeUnit.MILLISECONDS.toNanos(nowMillis));
     private final ZoneDispatcher dispatcher = new ZoneDispatcher(
             new HostId("weak"),
             ZONE,
@@ -48,6 +52,7 @@
             contacts,
             new FencingTokens(() -> 1_800_000_000_000L),
             registry,
+            evacuation,
             () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
             () -> wallClockMillis);
     private final HostState strong =
@@ -80,6 +85,9 @@
             cancelled.add(id);
         }
 
+        @Override
+        public void permitStarts(StartPermission permission, String reason) {}
+
         @Override
         public void release(String reason) {
             released = true;
@@ -107,6 +115,7 @@
     @BeforeEach
     void ownTwoServers() {
         registry.onAll(List.of(entry(FIRST), entry(SECOND)));
+        dispatcher.onEvacuationRead(false, -1, ZoneEvacuation.NEVER);
         dispatcher.setRegistration(1);
         dispatcher.reconcile(List.of());
         assertThat(pool.owned).containsExactlyInAnyOrder(FIRST, SECOND);
