The fault soak evacuates zones

Cause: no test combined evacuations with kills, pauses and outages.

Change: fault ZONE_EVACUATED, drawn separately so that the other faults of a seed stay the same. EvacuationJudge fails the play if a task starts in an evacuated zone later than 5 s after the request; time in which a host of the zone cannot read the store, and 2.5 s after it, does not count. The site must serve again afterwards, as before.

--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultKind.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultKind.java
@@ -28,6 +28,8 @@
     STORE_DELAYED(Target.HOST),
     /** The operator changes the configuration. */
     CONFIGURATION_CHANGED(Target.SITE),
+    /** The operator takes the servers of a zone out of use, and returns them when the fault ends. */
+    ZONE_EVACUATED(Target.ZONE),
     /** All connections to a server are closed once. */
     SERVER_RESET(Target.SERVER),
     /** Connections to a server are refused. */
@@ -51,6 +53,7 @@
     enum Target {
         HOST,
         SERVER,
+        ZONE,
         SITE
     }
 
@@ -63,4 +66,12 @@
     Target target() {
         return target;
     }
+
+    /** Returns whether hosts cannot read the store during the fault, or only late. */
+    boolean isOutageOfTheStore() {
+        return switch (this) {
+            case STORE_REFUSES, STORE_UNREACHABLE, STORE_RESPONSES_BLOCKED, STORE_DELAYED -> true;
+            default -> false;
+        };
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultPlan.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultPlan.java
@@ -13,13 +13,17 @@
     private static final int MEAN_GAP_MILLIS = 700;
     private static final int MIN_DURATION_MILLIS = 200;
     private static final int MAX_DURATION_MILLIS = 4_000;
+    /** Longer than the time after which nothing may start in an evacuated zone. */
+    private static final int MAX_EVACUATION_MILLIS = 9_000;
+
+    private static final int MAX_EVACUATION_GAP_MILLIS = 5_000;
     /** Probability that a fault hits the same target as the previous one. */
     private static final double SAME_TARGET_PROBABILITY = 0.3;
 
     /**
      * One fault.
      *
-     * @param index zero-based index of the host or server; 0 for faults of the whole site
+     * @param index zero-based index of the host, server or zone; 0 for faults of the whole site
      */
     record Fault(FaultKind kind, int index, long atMillis, long endMillis) {}
 
@@ -36,11 +40,13 @@
             atMillis += (long) (-Math.log(1 - random.nextDouble()) * MEAN_GAP_MILLIS);
             long endMillis = atMillis + random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
             if (endMillis > runMillis) {
+                addEvacuations(faults, seed, runMillis);
                 faults.sort(Comparator.comparingLong(Fault::atMillis));
                 return List.copyOf(faults);
             }
             if (remainingKinds.isEmpty()) {
                 remainingKinds.addAll(Arrays.asList(FaultKind.values()));
+                remainingKinds.remove(FaultKind.ZONE_EVACUATED);
                 Collections.shuffle(remainingKinds, random);
             }
             if (random.nextDouble() >= SAME_TARGET_PROBABILITY) {
@@ -52,8 +58,29 @@
                         case HOST -> targetNumber % hosts;
                         case SERVER -> targetNumber % servers;
                         case SITE -> 0;
+                        case ZONE -> throw new IllegalStateException("evacuations have a schedule of their own");
                     };
             faults.add(new Fault(kind, index, atMillis, endMillis));
         }
     }
+
+    /**
+     * Adds evacuations, which last longer than other faults. They are drawn separately, so that the other faults of a
+     * seed stay what they were when it failed.
+     */
+    private static void addEvacuations(List<Fault> faults, long seed, long runMillis) {
+        for (int zone = 0; zone < SoakSite.ZONES.size(); zone++) {
+            Random random = new Random(31 * seed + zone);
+            long atMillis = 0;
+            while (true) {
+                atMillis += random.nextInt(MIN_DURATION_MILLIS, MAX_EVACUATION_GAP_MILLIS);
+                long endMillis = atMillis + random.nextInt(MIN_DURATION_MILLIS, MAX_EVACUATION_MILLIS);
+                if (endMillis > runMillis) {
+                    break;
+                }
+                faults.add(new Fault(FaultKind.ZONE_EVACUATED, zone, atMillis, endMillis));
+                atMillis = endMillis;
+            }
+        }
+    }
 }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/FaultSoakTest.java
@@ -21,7 +21,7 @@
 /**
  * Injects random faults, generated from a seed, into a site of entry hosts that run as separate processes. Guards
  * against duplicate runs, starts beyond capacity, wrong or missing answers, and a site that does not recover after
- * the last fault.
+ * the last fault, and starts in an evacuated zone.
  *
  * <p>By default runs seed 1 and the seeds that have failed before (causes in docs/developers.md) for 20 s each. Those that
  * still fail are tagged {@code known-red}.
@@ -71,19 +71,22 @@
     @MethodSource("allSeeds")
     void upholdsItsGuarantees(long seed) throws Exception {
         plan = FaultPlan.generate(seed, RUN_MILLIS, HOSTS, SERVERS);
-        site = new SoakSite(vertx, ledger, folder);
+        EvacuationJudge judge = new EvacuationJudge(this::elapsedMillis);
+        site = new SoakSite(vertx, ledger, folder, judge);
         site.start(HOSTS, SERVERS);
         Eventually.within(START_MILLIS, site::isFullyServing, "the site starts");
         SoakCallers callers = new SoakCallers(vertx, ledger, site.hosts(), this::isBlockedByFault, seed);
         originNanos = System.nanoTime();
+        recordStoreOutages(judge);
         injectFaults(callers);
         site.recoverAll(STOP_MILLIS);
         Eventually.within(RECOVERY_MILLIS, () -> callers.open() == 0, "all jobs have ended");
         List<String> violations = new ArrayList<>(callers.violations());
         violations.addAll(ledger.violations());
+        violations.addAll(judge.violations());
         System.out.printf(
-                "seed %d: %d faults, %s, violations %s, in %s%n",
-                seed, plan.size(), callers.results(), violations, folder);
+                "seed %d: %d faults, %s, last start in an evacuated zone after %d ms, violations %s, in %s%n",
+                seed, plan.size(), callers.results(), judge.longestDelayMillis(), violations, folder);
         assertThat(violations).isEmpty();
         Eventually.within(RECOVERY_MILLIS, site::isFullyServing, "the site has recovered");
         serveWithoutFaults(seed);
@@ -96,6 +99,21 @@
         upholdsItsGuarantees(10);
     }
 
+    /** Faults of the store affect the zone of the host that they hit, or all zones. */
+    private void recordStoreOutages(EvacuationJudge judge) {
+        for (FaultPlan.Fault fault : plan) {
+            if (!fault.kind().isOutageOfTheStore()) {
+                continue;
+            }
+            for (int zone = 0; zone < SoakSite.ZONES.size(); zone++) {
+                boolean ofTheSite = fault.kind().target() == FaultKind.Target.SITE;
+                if (ofTheSite || fault.index() % SoakSite.ZONES.size() == zone) {
+                    judge.recordOutage(SoakSite.ZONES.get(zone), fault.atMillis(), fault.endMillis());
+                }
+            }
+        }
+    }
+
     private void injectFaults(SoakCallers callers) throws Exception {
         List<FaultPlan.Fault> pending = new ArrayList<>(plan);
         List<FaultPlan.Fault> active = new ArrayList<>();
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/soak/SoakSite.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.host.soak;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,7 +19,7 @@
     static final int TASK_MILLICORES = 4_000;
     private static final int CAPACITY_MILLICORES = 16_000;
     private static final long LEASE_MILLIS = 1_000;
-    private static final List<String> ZONES = List.of("a", "b");
+    static final List<String> ZONES = List.of("a", "b");
     private static final double[] PROCESSORS = {2.0, 0.5, 1.0};
 
     private final Vertx vertx;
@@ -26,6 +27,7 @@
     private final Path folder;
     private final StoreStandin store;
     private final OtherWriter otherWriter;
+    private final EvacuationJudge judge;
     private final List<Server> servers = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private int configurationVersion;
@@ -35,7 +37,8 @@
 
     private record Server(String id, String zone, LeasedServer standin, TcpProxy proxy) {}
 
-    SoakSite(Vertx vertx, RunLedger ledger, Path folder) {
+    SoakSite(Vertx vertx, RunLedger ledger, Path folder, EvacuationJudge judge) {
+        this.judge = judge;
         this.vertx = vertx;
         this.ledger = ledger;
         this.folder = folder;
@@ -56,10 +59,12 @@
 
     private void addServer(int index) throws Exception {
         LeasedServer standin = new LeasedServer(vertx, ledger, CAPACITY_MILLICORES, TASK_MILLICORES, LEASE_MILLIS);
+        String zone = ZONES.get(index % ZONES.size());
+        standin.onStart(task -> judge.started(zone, task));
         Eventually.await(standin.start());
         TcpProxy proxy = new TcpProxy(vertx, standin.port());
         Eventually.await(proxy.start());
-        Server server = new Server("i-" + index, ZONES.get(index % ZONES.size()), standin, proxy);
+        Server server = new Server("i-" + index, zone, standin, proxy);
         servers.add(server);
         register(server);
     }
@@ -116,6 +121,7 @@
         switch (fault.kind().target()) {
             case HOST -> beginOnHost(fault.kind(), hosts.get(fault.index()));
             case SERVER -> beginOnServer(fault.kind(), servers.get(fault.index()));
+            case ZONE -> evacuate(ZONES.get(fault.index()));
             case SITE -> beginOnSite(fault.kind());
         }
     }
@@ -175,10 +181,21 @@
         switch (fault.kind().target()) {
             case HOST -> recover(hosts.get(fault.index()));
             case SERVER -> recover(servers.get(fault.index()));
+            case ZONE -> returnToUse(ZONES.get(fault.index()));
             case SITE -> recoverSite(fault.kind());
         }
     }
 
+    private void evacuate(String zone) {
+        store.put("keyed.op", "evacuate/" + zone, new JsonObject());
+        judge.requested(zone);
+    }
+
+    private void returnToUse(String zone) {
+        judge.withdrawing(zone);
+        store.remove("keyed.op", "evacuate/" + zone);
+    }
+
     private static void recover(Host host) throws Exception {
         host.callers().setMode(TcpProxy.Mode.OPEN);
         host.store().setMode(TcpProxy.Mode.OPEN);
@@ -213,6 +230,7 @@
     void recoverAll(long stopMillis) throws Exception {
         store.setDown(false);
         servers.forEach(this::recover);
+        ZONES.forEach(this::returnToUse);
         for (Host host : hosts) {
             recover(host);
         }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /**
  * Stand-in for a backend server that runs tasks while its lease is valid, and rejects requests whose fencing token is
@@ -42,6 +43,7 @@
     private final SplittableRandom random;
     private final List<JsonArray> ended = new ArrayList<>();
     private final List<PendingRenewal> pendingRenewals = new ArrayList<>();
+    private Consumer<String> startObserver = task -> {};
     private HttpServer server;
     private Mode mode = Mode.NORMAL;
     private long originNanos = System.nanoTime();
@@ -83,6 +85,11 @@
         return server.actualPort();
     }
 
+    /** Calls an observer with the name of each task that starts from now on. */
+    public synchronized void onStart(Consumer<String> observer) {
+        startObserver = observer;
+    }
+
     /** Changes the handling of later requests. */
     public synchronized void setMode(Mode mode) {
         this.mode = mode;
@@ -187,6 +194,7 @@
 
     private void begin(Run run) {
         running.put(run.task(), run);
+        startObserver.accept(run.task());
         ledger.started(run.task(), (running.size() * taskMillicores) > capacityMillicores);
         if (mode == Mode.FAILS_TASKS) {
             end(run, "failed");
