Evacuation log lines name the zone that is evacuated

Change: the field is evacuatedZone. The check of names costs nothing without a record, and has a test.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/EvacuationWatch.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/EvacuationWatch.java
@@ -127,7 +127,7 @@
 
     private void logChange(ZoneId zone, boolean requested) {
         LOG.event(Logger.Level.INFO, requested ? "evacuation requested" : "evacuation withdrawn")
-                .with("zone", zone)
+                .with("evacuatedZone", zone)
                 .with("offset", records.offset(zone))
                 .write();
         if (requested) {
@@ -148,6 +148,9 @@
     }
 
     private List<ZoneId> dueChecks() {
+        if (checkAtMillis.isEmpty()) {
+            return List.of();
+        }
         List<ZoneId> due = new ArrayList<>();
         checkAtMillis.forEach((zone, atMillis) -> {
             if (clock.millis() >= atMillis) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -148,7 +148,7 @@
     private void logEvacuationInForce() {
         if (evacuation.isRequested() && startPermission == StartPermission.NONE) {
             LOG.event(Logger.Level.INFO, "evacuation in force")
-                    .with("zone", zone)
+                    .with("evacuatedZone", zone)
                     .with("offset", evacuationOffset)
                     .write();
         }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/EvacuatedDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/EvacuatedDispatcherTest.java
@@ -246,6 +246,20 @@
         assertThat(pool.permission).isEqualTo(StartPermission.ALL_JOBS);
     }
 
+    /** Hosts of other zones report their states up to 10 s after this one has started. */
+    @Test
+    void checksOnceWhetherAnEvacuatedZoneIsNamed() {
+        List<ZoneId> checked = new ArrayList<>();
+        byte[] value = "{}".getBytes(StandardCharsets.UTF_8);
+        readAll(new StoreClient.Entry("evacuate/b", value, 3));
+        watch.checkNames(checked::add);
+        assertThat(checked).isEmpty();
+        nowMillis += 25_000;
+        watch.checkNames(checked::add);
+        watch.checkNames(checked::add);
+        assertThat(checked).containsExactly(new ZoneId("b"));
+    }
+
     @Nested
     class AfterTheWithdrawal {
         @Test
