Admission counts the slots of a job's size

Cause: the expected wait was computed from sums, so a job of large tasks was taken by a pool whose free capacity was in fragments, and refused late. Change: WaitEstimator uses slots of the job's size and, if running tasks are longer than queued ones, the rate at which they free slots. PoolLoad has the capacity by task size and the queued capacity by priority.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolLoad.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolLoad.java
@@ -1,5 +1,7 @@
 package org.banyanspoke.core.pool;
 
+import java.util.List;
+
 /**
  * Load of a server pool.
  *
@@ -10,6 +12,10 @@
  * @param queuedMillicores processor capacity required by the queued tasks, in thousandths of a core
  * @param meanRunMillis mean expected run time of the running tasks, weighted by their processor share; 0 if there are
  *     none
+ * @param room capacity by task size
+ * @param queuedByPriority queued tasks that can still meet their target, by priority
+ * @param meanTaskMillicores mean processor share of the running tasks, in thousandths of a core; 0 if there are none
+ * @param largestQueuedMillicores processor share of the largest queued task, in thousandths of a core; 0 if none
  */
 public record PoolLoad(
         long capacityMillicores,
@@ -17,7 +23,65 @@
         long queuedCoreMillis,
         int queuedJobs,
         long queuedMillicores,
-        long meanRunMillis) {
+        long meanRunMillis,
+        FreeRoom room,
+        List<QueuedCapacity> queuedByPriority,
+        int meanTaskMillicores,
+        int largestQueuedMillicores) {
     /** Load of a pool without servers. */
     public static final PoolLoad NONE = new PoolLoad(0, 0, 0, 0, 0, 0);
+
+    /** Creates the load of a pool that reports sums only. */
+    public PoolLoad(
+            long capacityMillicores,
+            long freeMillicores,
+            long queuedCoreMillis,
+            int queuedJobs,
+            long queuedMillicores,
+            long meanRunMillis) {
+        this(
+                capacityMillicores,
+                freeMillicores,
+                queuedCoreMillis,
+                queuedJobs,
+                queuedMillicores,
+                meanRunMillis,
+                FreeRoom.UNKNOWN,
+                List.of(),
+                0,
+                0);
+    }
+
+    /** Returns the number of tasks of a size that fit now; a fraction if only the sums are known. */
+    public double freeSlots(int cpuMillicores) {
+        return room.isKnown()
+                ? room.freeSlots(cpuMillicores)
+                : Math.max(0, freeMillicores) / (double) Math.max(1, cpuMillicores);
+    }
+
+    /** Returns the number of tasks of a size that fit when all servers are idle; a fraction if only sums are known. */
+    public double totalSlots(int cpuMillicores) {
+        return room.isKnown()
+                ? room.totalSlots(cpuMillicores)
+                : capacityMillicores / (double) Math.max(1, cpuMillicores);
+    }
+
+    /** Returns the queued capacity that goes before a new job of a priority, in thousandths of a core. */
+    public long queuedMillicoresBefore(int priority) {
+        if (!room.isKnown()) {
+            return queuedMillicores;
+        }
+        long before = 0;
+        for (QueuedCapacity each : queuedByPriority) {
+            if (each.priority() <= priority) {
+                before += each.millicores();
+            }
+        }
+        return before;
+    }
+
+    /** Returns the number of tasks of the largest queued size that fit now; 0 if nothing is queued. */
+    public long slotsOfLargestQueued() {
+        return largestQueuedMillicores == 0 ? 0 : (long) freeSlots(largestQueuedMillicores);
+    }
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -22,7 +22,6 @@
 import org.banyanspoke.core.pool.ServerCommands.EndKind;
 import org.banyanspoke.core.pool.ServerDescriptor;
 import org.banyanspoke.core.pool.ServerPool;
-import org.banyanspoke.core.pool.TaskRequirements;
 import org.banyanspoke.core.time.MonotonicClock;
 
 /** Default {@link ServerPool}: admits jobs, dispatches their tasks to servers and retries failed tasks. */
@@ -139,7 +138,7 @@
             end(progress, JobOutcome.abandoned("runs of an earlier submission of this job are still being stopped"));
             return;
         }
-        long waitMillis = expectedWaitMillis(progress, nowMillis);
+        long waitMillis = WaitEstimator.expectedWaitMillis(progress, servers.values(), queue, nowMillis);
         progress.setExpectedWaitMillis(waitMillis);
         if (waitMillis == JobProgress.NO_SERVER) {
             refuse(progress, "no usable server can run this job", 2 * MIN_RETRY_AFTER_MILLIS);
@@ -161,42 +160,6 @@
         end(progress, JobOutcome.refused(reason, Math.max(MIN_RETRY_AFTER_MILLIS, retryAfterMillis)));
     }
 
-    /** Returns the estimated wait until the last task of a job starts. */
-    private long expectedWaitMillis(JobProgress progress, long nowMillis) {
-        TaskRequirements requirements = progress.requirements();
-        String service = progress.job().queuePolicy().service();
-        long capacity = 0;
-        long free = 0;
-        boolean runnable = false;
-        for (OwnedServer server : servers.values()) {
-            if (server.isUsable()
-                    && server.descriptor().cpuMillicores() >= requirements.cpuMillicores()
-                    && server.descriptor().service().equals(service)) {
-                capacity += server.descriptor().cpuMillicores();
-                free += server.freeCpu();
-                runnable |= server.descriptor().canRun(requirements);
-            }
-        }
-        if (!runnable) {
-            return JobProgress.NO_SERVER;
-        }
-        double workAhead = 0;
-        for (JobProgress other : queue.all()) {
-            if (JobQueue.precedes(other, progress.priority(), nowMillis)) {
-                workAhead += pendingWork(other);
-            }
-        }
-        double ownWork = pendingWork(progress) / 2;
-        double freeWork = (double) free * requirements.estimateMillis();
-        return (long) (Math.max(0, workAhead + ownWork - freeWork) / capacity);
-    }
-
-    private static double pendingWork(JobProgress job) {
-        return (double) job.pendingTasks()
-                * job.requirements().cpuMillicores()
-                * job.requirements().estimateMillis();
-    }
-
     @Override
     public void cancel(CallerJobId id, String reason) {
         JobProgress progress = jobs.get(id);
@@ -376,29 +339,7 @@
 
     @Override
     public PoolLoad load() {
-        long capacity = 0;
-        long free = 0;
-        long usedCpu = 0;
-        long runningWork = 0;
-        for (OwnedServer server : servers.values()) {
-            if (server.isUsable()) {
-                capacity += server.descriptor().cpuMillicores();
-                free += server.freeCpu();
-                usedCpu += server.usedCpu();
-                runningWork += server.runningWork();
-            }
-        }
-        double queuedWork = 0;
-        long queuedMillicores = 0;
-        int unstartedJobs = 0;
-        for (JobProgress progress : queue.all()) {
-            queuedWork += pendingWork(progress);
-            queuedMillicores +=
-                    (long) progress.pendingTasks() * progress.requirements().cpuMillicores();
-            unstartedJobs += progress.started() ? 0 : 1;
-        }
-        long runMillis = usedCpu == 0 ? 0 : runningWork / usedCpu;
-        return new PoolLoad(capacity, free, (long) (queuedWork / 1000), unstartedJobs, queuedMillicores, runMillis);
+        return LoadReport.of(servers.values(), queue, clock.millis());
     }
 
     @Override
--- /dev/null
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/WaitEstimator.java
@@ -0,0 +1,65 @@
+package org.banyanspoke.core.pool.internal;
+
+import java.util.Collection;
+import org.banyanspoke.core.pool.FreeRoom;
+import org.banyanspoke.core.pool.TaskRequirements;
+
+/** Estimates how long a new job waits, from the free slots of its task size and the queued work that goes before it. */
+final class WaitEstimator {
+    private WaitEstimator() {}
+
+    /**
+     * Returns the estimated wait until the last task of a job starts, or {@link JobProgress#NO_SERVER}.
+     *
+     * <p>The larger of two estimates applies: the time that all servers take for the work that goes before, and, if
+     * tasks have to wait for running ones, the time after which as many slots have become free. The second one counts if
+     * the running tasks are longer than the queued ones.
+     */
+    static long expectedWaitMillis(JobProgress job, Collection<OwnedServer> servers, JobQueue queue, long nowMillis) {
+        RoomBuilder builder = new RoomBuilder(servers.size());
+        boolean runnable = false;
+        for (OwnedServer server : servers) {
+            if (isCandidate(server, job)) {
+                builder.add(server);
+                runnable |= server.descriptor().canRun(job.requirements());
+            }
+        }
+        if (!runnable) {
+            return JobProgress.NO_SERVER;
+        }
+        return (long) expectedWaitMillis(job, builder, queue, nowMillis);
+    }
+
+    private static boolean isCandidate(OwnedServer server, JobProgress job) {
+        return server.isUsable()
+                && server.descriptor().cpuMillicores() >= job.requirements().cpuMillicores()
+                && server.descriptor().service().equals(job.job().queuePolicy().service());
+    }
+
+    private static double expectedWaitMillis(JobProgress job, RoomBuilder builder, JobQueue queue, long nowMillis) {
+        TaskRequirements requirements = job.requirements();
+        FreeRoom room = builder.build();
+        double totalSlots = room.totalSlots(requirements.cpuMillicores());
+        double freeSlots = room.freeSlots(requirements.cpuMillicores());
+        double shareBefore = 0;
+        double millisBefore = 0;
+        for (JobProgress other : queue.all()) {
+            if (JobQueue.precedes(other, job.priority(), nowMillis)) {
+                double share = poolShare(other, room);
+                shareBefore += share;
+                millisBefore += share * other.requirements().estimateMillis();
+            }
+        }
+        double ownSlots = job.pendingTasks();
+        double queueMillis = millisBefore + (ownSlots / 2 - freeSlots) / totalSlots * requirements.estimateMillis();
+        double missingShare = shareBefore + (ownSlots - freeSlots) / totalSlots;
+        double runningMillis = Math.min(1, missingShare) * builder.meanRunMillis();
+        return Math.max(0, Math.max(queueMillis, runningMillis));
+    }
+
+    /** Returns the pending tasks of a job relative to the slots of their size; 0 if none of them can run here. */
+    static double poolShare(JobProgress job, FreeRoom room) {
+        long slots = room.totalSlots(job.requirements().cpuMillicores());
+        return slots == 0 ? 0 : (double) job.pendingTasks() / slots;
+    }
+}
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
@@ -51,6 +51,21 @@
         pool.submit(job, recordEnd(job, submittedAtMillis));
     }
 
+    CallerJobId submitSized(QueuePolicy policy, int tasks, int cpuMillicores, long estimateMillis) {
+        CallerJobId id = new CallerJobId(String.format("%016x", ids.size() + 1));
+        ids.add(id);
+        TaskRequirements requirements = new TaskRequirements(cpuMillicores, 64, 0, estimateMillis, "", "", 0);
+        PooledJob job = new PooledJob(id, policy, "work", tasks, requirements, 0, 1_500);
+        sent.put(id, job);
+        pool.submit(job, recordEnd(job, simulation.millis()));
+        return id;
+    }
+
+    /** Returns the processor share of a job's tasks, in thousandths of a core. */
+    int cpuMillicores(CallerJobId id) {
+        return sent.get(id).requirements().cpuMillicores();
+    }
+
     private Consumer<JobOutcome> recordEnd(PooledJob job, long submittedAtMillis) {
         return outcome -> {
             if (endedJobs.put(job.id(), new EndedJob(job, outcome, simulation.millis() - submittedAtMillis)) != null) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.api.ids.ZoneId;
@@ -39,6 +40,7 @@
     final List<String> violations = new ArrayList<>();
     final Map<ServerId, Server> servers = new LinkedHashMap<>();
     ToLongFunction<RunKey> runMillis = run -> 100;
+    ToIntFunction<RunKey> cpuMillicores = run -> SimulatedJobs.CPU_MILLICORES;
     /** Whether the next start command fails with an unchecked exception. */
     boolean failNextStart;
 
@@ -269,7 +271,7 @@
         }
         starts++;
         checkNoOtherRun(command.run());
-        Task task = new Task(SimulatedJobs.CPU_MILLICORES, nowMillis);
+        Task task = new Task(cpuMillicores.applyAsInt(command.run()), nowMillis);
         server.running.put(command.run(), task);
         if (server.usedCpuMillicores() > server.descriptor.cpuMillicores()) {
             violations.add("capacity exceeded on server " + server.descriptor.id());
