Jobs are routed by slots of their size, to a random zone where they fit

Cause: fragments of a zone counted as room; work of all priorities counted against an urgent job; all hosts with the same old loads chose one zone. Change: the own zone while the job fits there, otherwise a zone where it fits, at random weighted by free slots, otherwise the shortest wait. Zones whose free capacity is in fragments count as short of capacity, so loads of other zones are exchanged every 0.2 s. Metric pool.slots_largest_queued.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/ownership/HostFailureDetector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.banyanspoke.api.ids.HostId;
+import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.time.MonotonicClock;
 
 /**
@@ -198,7 +199,14 @@
                 || dispatcher.load().queuedMillicores() > 0
                 || dispatcher.load().freeMillicores() * LOW_CAPACITY_DIVISOR
                         < dispatcher.load().capacityMillicores()
-                || dispatcher.load().capacityMillicores() == 0;
+                || dispatcher.load().capacityMillicores() == 0
+                || isFragmented(dispatcher.load());
+    }
+
+    /** Returns whether few tasks like the running ones fit, although the sum of free capacity may be large. */
+    private static boolean isFragmented(PoolLoad load) {
+        int size = load.meanTaskMillicores();
+        return size > 0 && load.freeSlots(size) * LOW_CAPACITY_DIVISOR < load.totalSlots(size);
     }
 
     private HostState dispatcherOf(HostState own) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/HostFailureDetectorTest.java
@@ -3,10 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ZoneId;
+import org.banyanspoke.core.pool.CapacityHistogram;
+import org.banyanspoke.core.pool.FreeRoom;
 import org.banyanspoke.core.pool.PoolLoad;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -20,6 +23,17 @@
     private static final HostId OTHER_ZONE_HOST = new HostId("other-zone-host");
     private static final PoolLoad FREE = new PoolLoad(16_000, 16_000, 0, 0, 0, 0);
     private static final PoolLoad NEARLY_FULL = new PoolLoad(16_000, 3_000, 0, 0, 0, 100);
+    private static final PoolLoad FRAGMENTED = new PoolLoad(
+            128_000,
+            60_000,
+            0,
+            0,
+            0,
+            100,
+            new FreeRoom(CapacityHistogram.of(30_000, 30_000), CapacityHistogram.of(64_000, 64_000)),
+            List.of(),
+            34_000,
+            0);
     private static final PoolLoad QUEUED = new PoolLoad(16_000, 8_000, 900, 1, 12_000, 100);
     private static final long TICK_MILLIS = 50;
 
@@ -91,6 +105,13 @@
             assertThat(detector.isExchangeDue(OTHER_ZONE_DISPATCHER)).isTrue();
         }
 
+        /** Half of the capacity is free, but in fragments, so jobs leave the zone without being queued there. */
+        @Test
+        void monitorsThemWhileNoTaskLikeTheRunningOnesFits() {
+            advance(200, FRAGMENTED);
+            assertThat(detector.isExchangeDue(OTHER_ZONE_DISPATCHER)).isTrue();
+        }
+
         /**
          * A dispatcher last heard 900 ms ago must not count as failed as soon as its monitoring level becomes critical.
          */
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobPlacementTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -20,8 +21,10 @@
     private static final PoolLoad OVERLOADED = new PoolLoad(200_000, 0, 600_000, 50, 2_000_000, 300);
 
     private long nowMillis = 10_000;
-    private final JobPlacement placement =
-            new JobPlacement(TestJobs.ofEightTasks(), new JobRouter(new ZoneId("a")), () -> nowMillis * 1_000_000);
+    private final JobPlacement placement = new JobPlacement(
+            TestJobs.ofEightTasks(),
+            new JobRouter(new ZoneId("a"), new SplittableRandom(1)),
+            () -> nowMillis * 1_000_000);
 
     private static HostState dispatcher(String zone, PoolLoad load) {
         return new HostState(new HostId("h-" + zone), new ZoneId(zone), 1, 1_000, false, 1, Set.of(), load);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/ownership/JobRouterTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.banyanspoke.api.ids.HostId;
 import org.banyanspoke.api.ids.ZoneId;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -15,7 +16,7 @@
 
 /** Guards against queueing in one zone while another has free capacity and against unnecessary cross-zone traffic. */
 class JobRouterTest {
-    private final JobRouter router = new JobRouter(new ZoneId("a"));
+    private final JobRouter router = new JobRouter(new ZoneId("a"), new SplittableRandom(1));
 
     private static HostState dispatcher(String zone, long free, long queuedMillicores) {
         return new HostState(
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.Incarnation;
@@ -147,7 +148,7 @@
                 exchange,
                 dispatcher,
                 config,
-                new JobRouter(settings.zone()),
+                new JobRouter(settings.zone(), new SplittableRandom()),
                 new EntryObserver(requestLog, metrics),
                 clock,
                 contacts,
@@ -204,6 +205,8 @@
         metrics.gauge("pool.free_millicores", () -> dispatcher.state().load().freeMillicores());
         metrics.gauge("pool.queued_core_millis", () -> dispatcher.state().load().queuedCoreMillis());
         metrics.gauge("pool.queued_jobs", () -> dispatcher.state().load().queuedJobs());
+        metrics.gauge(
+                "pool.slots_largest_queued", () -> dispatcher.state().load().slotsOfLargestQueued());
         String peerAddress = settings.peerAddress();
         metrics.serve(vertx, peerAddress.substring(0, peerAddress.lastIndexOf(':')), metricsPort);
     }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -133,7 +134,7 @@
                 exchange,
                 dispatcher,
                 new ConfigWatch(),
-                new JobRouter(ZONE),
+                new JobRouter(ZONE, new SplittableRandom(1)),
                 new EntryObserver(new RequestLog(clock), new HostMetrics()),
                 clock,
                 contacts,
