State messages carry the capacity by task size

Change: HostStateMessage has the steps of free and total capacity, queued capacity by priority, and the mean and largest task size. Messages of older builds have none of them and are assessed by their sums. Refusals log the slots of the job's size.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolEventLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolEventLog.java
@@ -48,6 +48,9 @@
                 .with("capacityMillicores", load.capacityMillicores())
                 .with("freeMillicores", load.freeMillicores())
                 .with("queuedCoreMillis", load.queuedCoreMillis())
+                .with("cpuMillicores", job.requirements().cpuMillicores())
+                .with("slots", (long) load.freeSlots(job.requirements().cpuMillicores()))
+                .with("totalSlots", (long) load.totalSlots(job.requirements().cpuMillicores()))
                 .write();
     }
 
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -9,7 +9,6 @@
 import org.banyanspoke.core.ownership.HostState;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
-import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.QueuePolicy;
 import org.banyanspoke.core.pool.TaskRequirements;
@@ -44,6 +43,7 @@
                 .setRunMillis(state.load().meanRunMillis())
                 .setSentMillis(sentMillis);
         state.heldServers().forEach(server -> message.addHeldServers(server.value()));
+        RoomMessages.encode(state.load(), message);
         return message.build();
     }
 
@@ -58,13 +58,7 @@
                 message.getLeaving(),
                 message.getRound(),
                 held,
-                new PoolLoad(
-                        message.getCapacityMillicores(),
-                        message.getFreeMillicores(),
-                        message.getQueuedCoreMillis(),
-                        message.getQueuedJobs(),
-                        message.getQueuedMillicores(),
-                        message.getRunMillis()),
+                RoomMessages.decode(message),
                 message.getSentMillis());
     }
 
