Small tasks are counted by sums in reports

Cause: steps of a message are rounded down, which would make jobs of tasks that are small against the servers leave their zone early. Change: PoolLoad uses the sums for tasks of at most 1/16 of the largest server.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/CapacityHistogram.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/CapacityHistogram.java
@@ -70,6 +70,11 @@
         return millicores.length == 0;
     }
 
+    /** Returns the largest capacity, in thousandths of a core; 0 if there are no servers. */
+    public int largestMillicores() {
+        return isEmpty() ? 0 : millicores[millicores.length - 1];
+    }
+
     /** Returns the number of tasks of a size that fit, counted for each server by itself. */
     public long slots(int cpuMillicores) {
         int size = Math.max(1, cpuMillicores);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolLoad.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolLoad.java
@@ -30,6 +30,8 @@
         int largestQueuedMillicores) {
     /** Load of a pool without servers. */
     public static final PoolLoad NONE = new PoolLoad(0, 0, 0, 0, 0, 0);
+    /** For smaller parts of the largest server the sums are closer than the steps, which are rounded down. */
+    private static final int SMALL_TASK_DIVISOR = 16;
 
     /** Creates the load of a pool that reports sums only. */
     public PoolLoad(
@@ -52,20 +54,24 @@
                 0);
     }
 
-    /** Returns the number of tasks of a size that fit now; a fraction if only the sums are known. */
+    /** Returns the number of tasks of a size that fit now; a fraction if the sums are used. */
     public double freeSlots(int cpuMillicores) {
-        return room.isKnown()
+        return usesSteps(cpuMillicores)
                 ? room.freeSlots(cpuMillicores)
                 : Math.max(0, freeMillicores) / (double) Math.max(1, cpuMillicores);
     }
 
-    /** Returns the number of tasks of a size that fit when all servers are idle; a fraction if only sums are known. */
+    /** Returns the number of tasks of a size that fit when all servers are idle; a fraction if the sums are used. */
     public double totalSlots(int cpuMillicores) {
-        return room.isKnown()
+        return usesSteps(cpuMillicores)
                 ? room.totalSlots(cpuMillicores)
                 : capacityMillicores / (double) Math.max(1, cpuMillicores);
     }
 
+    private boolean usesSteps(int cpuMillicores) {
+        return (long) cpuMillicores * SMALL_TASK_DIVISOR > room.total().largestMillicores() && room.isKnown();
+    }
+
     /** Returns the queued capacity that goes before a new job of a priority, in thousandths of a core. */
     public long queuedMillicoresBefore(int priority) {
         if (!room.isKnown()) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/TaskSizeLoadTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/TaskSizeLoadTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
@@ -185,6 +187,21 @@
             assertThat(load.freeSlots(1_000)).isEqualTo(400);
             assertThat(load.totalSlots(1_000)).isEqualTo(640);
         }
+
+        /** Rounding the steps of a message down would make jobs of small tasks leave their zone early. */
+        @Test
+        void theirSlotsAreNotRoundedDownInAMessage() {
+            int[] free = new int[50];
+            Arrays.setAll(free, i -> 500 * i + 250);
+            int[] total = new int[50];
+            Arrays.fill(total, 64_000);
+            FreeRoom room = new FreeRoom(CapacityHistogram.of(free), CapacityHistogram.of(total)).compact();
+            long sum = Arrays.stream(free).sum();
+            PoolLoad load = new PoolLoad(3_200_000, sum, 0, 0, 0, 100, room, List.of(), 500, 0);
+            assertThat(room.freeSlots(500)).isLessThan(sum / 500 * 98 / 100);
+            assertThat(load.freeSlots(500)).isEqualTo((double) sum / 500);
+            assertThat(load.freeSlots(20_000)).isEqualTo(room.freeSlots(20_000));
+        }
     }
 
     /** A short urgent job uses the few free slots several times while long runs hold the others. */
