--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.Incarnation;
@@ -164,7 +165,7 @@
                 dispatcher,
                 config,
                 evacuations,
-                new JobRouter(settings.zone()),
+                new JobRouter(settings.zone(), new SplittableRandom()),
                 new EntryObserver(requestLog, metrics),
                 clock,
                 contacts,
@@ -227,6 +228,8 @@
         metrics.gauge("pool.jobs_refused_by_evacuation", dispatcher::refusedByEvacuation);
         metrics.gauge("zone.evacuated", () -> evacuations.isOwnZoneEvacuated() ? 1 : 0);
         metrics.gauge("pool.queued_jobs", () -> dispatcher.state().load().queuedJobs());
+        metrics.gauge(
+                "pool.slots_largest_queued", () -> dispatcher.state().load().slotsOfLargestQueued());
         String peerAddress = settings.peerAddress();
         metrics.serve(vertx, peerAddress.substring(0, peerAddress.lastIndexOf(':')), metricsPort);
     }
