No start by the descriptor of a server's earlier start

Cause: the dispatcher read the new start time in the server's list of runs, claimed the server again and used it at once with the labels and the capacity of the previous registry entry, for up to one registry poll (400 ms). The start times of the list and of the descriptor were never compared.

Change: a server is usable only if its descriptor has no start time or one that is not before that of its list of runs. All decisions ask isUsable, so admission, load reports and selection agree. It is still claimed at once, and "server outdated" is logged and counted until the new descriptor is read. Why it works: the registry has the entry of a start before the server answers its first request, so a descriptor with at least the listed start time describes the server that answers.

Same cause on related paths: a new dispatcher with an old registry entry and a second restart before the first entry is read are covered by the same rule. The run time factor learned from the earlier start is forgotten at a restart.

Changed tests: SimulatedServers.restart publishes the new start time, as the platform requires of a server, and two restart tests assign that descriptor before they expect the capacity. The capacity, the token and the outcome that they require are unchanged.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerDescriptor.java
@@ -17,7 +17,7 @@
  * @param gpus GPU capacity
  * @param draining whether it accepts no new tasks
  * @param startTimeMillis Unix time at which its process started, in milliseconds; changes when a server restarts under
- *     the same id
+ *     the same id, possibly with other properties; 0 if unknown
  */
 public record ServerDescriptor(
         ServerId id,
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -477,6 +477,8 @@
 
         @Override
         public void restarted(OwnedServer server) {
+            // The server may have restarted on other hardware.
+            runTimes.forget(server.descriptor().id());
             server.claim(tokens.next());
         }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -137,7 +137,19 @@
     }
 
     boolean isUsable() {
-        return state == State.USABLE && !descriptor.draining() && orphanRuns.isEmpty() && !closed;
+        return state == State.USABLE
+                && hasCurrentDescriptor()
+                && !descriptor.draining()
+                && orphanRuns.isEmpty()
+                && !closed;
+    }
+
+    /**
+     * Returns whether the descriptor is of the current start of the server. After a restart, the labels and the capacity
+     * of the previous descriptor may no longer apply.
+     */
+    private boolean hasCurrentDescriptor() {
+        return descriptor.startTimeMillis() == 0 || descriptor.startTimeMillis() >= startTimeMillis;
     }
 
     /** Returns whether a task fits into the free capacity. Compares differences, because sums may overflow. */
@@ -150,9 +162,12 @@
     /** Replaces the descriptor. A later start time means that the server restarted and lost its state. */
     void updateDescriptor(ServerDescriptor newDescriptor) {
         boolean restarted = startTimeMillis != 0 && newDescriptor.startTimeMillis() > startTimeMillis;
+        boolean wasOutdated = !hasCurrentDescriptor();
         descriptor = newDescriptor;
         if (restarted) {
             onServerRestarted(newDescriptor.startTimeMillis());
+        } else if (state == State.USABLE && wasOutdated && hasCurrentDescriptor()) {
+            listener.stateChanged(this, "usable", "descriptor of its current start read");
         }
     }
 
@@ -394,7 +409,9 @@
             }
         }
         state = State.USABLE;
-        if (previousState != State.USABLE) {
+        if (previousState != State.USABLE && !hasCurrentDescriptor()) {
+            listener.stateChanged(this, "outdated", "the registry has the descriptor of an earlier start");
+        } else if (previousState != State.USABLE) {
             listener.stateChanged(this, "usable", previousState == State.CLAIMING ? "claimed" : "responding again");
         }
         nextRenewalMillis = clock.millis();
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -20,6 +20,8 @@
 /** Guards against exceeded server capacity, concurrent runs of a task and jobs without an outcome when servers fail. */
 class ServerPoolTest {
     private static final PoolSettings LIMITS = new PoolSettings(1_000, 2, 150, 250, 1_000);
+    /** Period in which a dispatcher reads the registry. */
+    private static final long REGISTRY_POLL_MILLIS = 400;
 
     private final SimulatedServers simulation = new SimulatedServers();
     /** Time of the last contact with the callers of all jobs. */
@@ -296,6 +298,7 @@
             server.restart();
             simulation.run(pool, 1_000);
             assertThat(server.token).isGreaterThan(tokenBefore);
+            pool.assign(simulation.descriptors());
             assertThat(pool.load().freeMillicores()).isEqualTo(16_000);
         }
 
@@ -310,13 +313,140 @@
             simulation.runMillis = run -> 900;
             server.restart();
             CallerJobId id = jobs.submit(SimulatedJobs.LONG, 4, 900);
-            simulation.run(pool, 4_000);
+            simulation.run(pool, REGISTRY_POLL_MILLIS);
+            pool.assign(simulation.descriptors());
+            simulation.run(pool, 4_000 - REGISTRY_POLL_MILLIS);
             assertThat(simulation.violations).isEmpty();
             assertThat(jobs.kind(id)).isEqualTo(Kind.COMPLETED);
             assertThat(pool.load().freeMillicores()).isEqualTo(32_000);
         }
     }
 
+    /** Review case 3: tasks were started by the labels of the entry before, which the server no longer had. */
+    @Nested
+    class AServerThatRestartsAsAnotherKind {
+        private final QueuePolicy patient = new QueuePolicy("q", "service", 0, 3, 6, 2_000);
+        private final List<String> states = new ArrayList<>();
+        private final List<Kind> outcomes = new ArrayList<>();
+        private final ServerPool observed = newPool(2, new PoolListener() {
+            @Override
+            public void onServerStateChanged(ServerId server, String state, String reason) {
+                states.add(state);
+            }
+
+            @Override
+            public void onRunStarted(RunKey run, ServerId id, long expectedMillis) {
+                lastExpectedMillis = expectedMillis;
+            }
+        });
+        private long lastExpectedMillis;
+        private Server server;
+        private int submitted;
+
+        @BeforeEach
+        void startATask() {
+            server = simulation.add("s0", "a", 16_000);
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 100);
+            simulation.runMillis = run -> 600;
+            submit("a");
+            simulation.run(observed, 100);
+            assertThat(simulation.startCommands()).isEqualTo(1);
+        }
+
+        private void submit(String label) {
+            submitted++;
+            observed.submit(
+                    new PooledJob(
+                            new CallerJobId("00000000000000a" + submitted),
+                            patient,
+                            "work",
+                            1,
+                            new TaskRequirements(1_000, 100, 0, 600, label, "", 0),
+                            0,
+                            8_000),
+                    outcome -> outcomes.add(outcome.kind()));
+        }
+
+        @Test
+        void getsNoTaskUntilItsNewDescriptorIsKnown() {
+            server.restart("b");
+            simulation.run(observed, 1_000);
+            assertThat(simulation.startCommands()).isEqualTo(1);
+            assertThat(states).containsExactly("usable", "claiming", "outdated");
+            submit("");
+            assertThat(outcomes).containsExactly(Kind.REFUSED);
+        }
+
+        @Test
+        void isClaimedAtOnce() {
+            long tokenBefore = server.token;
+            server.restart("b");
+            simulation.run(observed, 300);
+            assertThat(server.token).isGreaterThan(tokenBefore);
+        }
+
+        @Test
+        void getsTheTasksThatItsNewLabelsAllow() {
+            server.restart("b");
+            simulation.run(observed, 400);
+            observed.assign(simulation.descriptors());
+            assertThat(states).endsWith("usable");
+            submit("b");
+            simulation.run(observed, 1_000);
+            assertThat(simulation.startCommands()).isEqualTo(2);
+            assertThat(outcomes).containsExactly(Kind.COMPLETED);
+        }
+
+        @Test
+        void getsNoTaskByTheDescriptorOfAStartInBetween() {
+            server.restart("a");
+            ServerDescriptor inBetween = server.descriptor;
+            simulation.run(observed, 50);
+            server.restart("b");
+            simulation.run(observed, 400);
+            observed.assign(List.of(inBetween));
+            simulation.run(observed, 1_000);
+            assertThat(simulation.startCommands()).isEqualTo(1);
+        }
+
+        @Test
+        void getsNoTaskFromANewDispatcherThatReadsAnOldRegistry() {
+            List<ServerDescriptor> oldEntries = simulation.descriptors();
+            server.restart("b");
+            ServerPool successor = newPool(3);
+            successor.assign(oldEntries);
+            simulation.run(successor, 300);
+            assertThat(successor.load().capacityMillicores()).isZero();
+            successor.assign(simulation.descriptors());
+            assertThat(successor.load().capacityMillicores()).isEqualTo(16_000);
+        }
+
+        @Test
+        void isUsableIfItsDescriptorHasNoStartTime() {
+            server.restart("b", 0);
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 400);
+            submit("b");
+            simulation.run(observed, 1_000);
+            assertThat(outcomes).containsExactly(Kind.COMPLETED);
+        }
+
+        /** The run times of the earlier kind determined whether a task could meet its target. */
+        @Test
+        void isJudgedByTheRunTimesOfItsNewKind() {
+            server.slowdown = 3;
+            simulation.run(observed, 600);
+            submit("a");
+            simulation.run(observed, 2_000);
+            server.restart("b");
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 400);
+            submit("b");
+            assertThat(lastExpectedMillis).isEqualTo(600);
+        }
+    }
+
     @Nested
     class FailingServers {
         @Test
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -117,8 +117,33 @@
             });
         }
 
-        /** Drops all state, like a process that restarts under the same id. */
+        /** Drops all state, like a process that restarts under the same id, and publishes its new start time. */
         void restart() {
+            restart(descriptor.hardwareKind(), nowMillis);
+        }
+
+        /** Restarts as a server of another hardware kind. */
+        void restart(String kind) {
+            restart(kind, nowMillis);
+        }
+
+        /**
+         * Restarts as a server of a hardware kind.
+         *
+         * @param publishedStartMillis start time in the new descriptor
+         */
+        void restart(String kind, long publishedStartMillis) {
+            descriptor = new ServerDescriptor(
+                    descriptor.id(),
+                    descriptor.service(),
+                    descriptor.address(),
+                    descriptor.zone(),
+                    List.of(kind),
+                    descriptor.cpuMillicores(),
+                    descriptor.memoryMegabytes(),
+                    descriptor.gpus(),
+                    descriptor.draining(),
+                    publishedStartMillis);
             running.clear();
             ended.clear();
             highestEnded.clear();
