A cancellation reaches the job at whichever host it is

Seen by callers: a job was cancelled at another entry host of its zone than the one where its caller waited.

Cause: an entry host looked only among the jobs of its own callers and answered 410 for all others, even for a job in its own dispatcher's queue.

Change: a host that does not know the job asks the dispatchers of all zones, all hosts of its own zone and of zones without a live dispatcher, and hosts of unknown zone with PoolJobCancel, whose reply says whether the job was known. The answer is 200 if any host knew it, else 410; a host that does not reply within 500 ms is skipped. Receivers cancel the job for the callers of all hosts, keep its id for 5 s (at most 10,000, the oldest are dropped and logged) and do not start it if it arrives in that time. The refusal of a cancelled job is marked, since an entry host sends a refused job to another dispatcher. A job of which a task had been started is answered as abandoned, also on a later arrival. Why it works: a job is held by its caller's entry host, by a dispatcher or is on its way to one; each of these is asked or refuses it on arrival.

Same cause on related paths: a cancellation at the caller's host ended only the attempt of that host while another host's attempt of the same job went on. A closed connection still ends only its own attempt.

No expectation was removed.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/EntryJobService.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/EntryJobService.java
@@ -29,9 +29,10 @@
     Attempt submit(PooledJob job, Consumer<JobOutcome> onOutcome);
 
     /**
-     * Cancels the newest attempt of a job.
+     * Cancels a job, wherever its callers wait.
      *
-     * @return whether the job was in progress on this host
+     * @param onReply called exactly once, with whether any host knew the job; no task of the job starts later than shortly
+     *     after that
      */
-    boolean cancel(CallerJobId id, String reason);
+    void cancel(CallerJobId id, String reason, Consumer<Boolean> onReply);
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/JobOutcome.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/JobOutcome.java
@@ -6,8 +6,9 @@
  * @param kind what the caller can rely on
  * @param reason explanation for logs and responses
  * @param retryAfterMillis time after which the caller may retry; 0 unless refused
+ * @param cancelled whether the caller has cancelled the job, so that it must not be sent to another dispatcher
  */
-public record JobOutcome(Kind kind, String reason, long retryAfterMillis) {
+public record JobOutcome(Kind kind, String reason, long retryAfterMillis, boolean cancelled) {
     /** Kind of outcome, which tells the caller whether tasks have run. */
     public enum Kind {
         /** Every task has completed. */
@@ -20,6 +21,11 @@
         ABANDONED
     }
 
+    /** Creates an outcome of a job that was not cancelled. */
+    public JobOutcome(Kind kind, String reason, long retryAfterMillis) {
+        this(kind, reason, retryAfterMillis, false);
+    }
+
     /** Returns the outcome of a job whose tasks have all completed. */
     public static JobOutcome completed() {
         return new JobOutcome(Kind.COMPLETED, "", 0);
@@ -35,6 +41,15 @@
         return new JobOutcome(Kind.REFUSED, reason, retryAfterMillis);
     }
 
+    /**
+     * Returns the outcome of a job that was cancelled before any of its tasks was started.
+     *
+     * @param retryAfterMillis time after which a job with the same id is accepted again
+     */
+    public static JobOutcome cancelled(String reason, long retryAfterMillis) {
+        return new JobOutcome(Kind.REFUSED, reason, retryAfterMillis, true);
+    }
+
     /** Returns the outcome of a job that was given up after a task had been started. */
     public static JobOutcome abandoned(String reason) {
         return new JobOutcome(Kind.ABANDONED, reason, 0);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/EntryObserver.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/EntryObserver.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.banyanspoke.core.ownership.HostState;
+import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.SiteConfig;
@@ -41,6 +42,23 @@
                 .write();
     }
 
+    /**
+     * Records a cancellation by a caller.
+     *
+     * @param replies replies of the other hosts, which are asked only if this host does not know the job
+     */
+    void cancelled(CallerJobId job, JobCancellations.Replies replies) {
+        metrics.cancelled(replies.known());
+        if (log.tryAcquire(RequestLog.Kind.CANCELLED)) {
+            log.line(RequestLog.Kind.CANCELLED, "job cancelled by its caller")
+                    .with("job", job)
+                    .with("known", replies.known())
+                    .with("hostsAsked", replies.asked())
+                    .with("hostsReplied", replies.replied())
+                    .write();
+        }
+    }
+
     private static RequestLog.Kind kind(PooledJob job, JobOutcome outcome, long totalMillis) {
         return switch (outcome.kind()) {
             case REFUSED -> RequestLog.Kind.REFUSED;
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
@@ -44,6 +44,11 @@
         registry.histogram("entry.total_millis." + job.queuePolicy().priority()).update(totalMillis);
     }
 
+    /** Counts a cancellation by a caller, by whether any host knew the job. */
+    void cancelled(boolean known) {
+        registry.counter("entry.cancellations." + (known ? "known" : "unknown")).inc();
+    }
+
     /** Counts each start or end of dispatching by this host. */
     void dispatchingChanged() {
         registry.counter("dispatcher.changes").inc();
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -197,6 +197,7 @@
                 "entry.config_version",
                 () -> config.config().map(SiteConfig::version).orElse(0L));
         metrics.gauge("input.behind_millis", input::behindMillis);
+        metrics.gauge("pool.jobs_refused_as_cancelled", dispatcher::refusedAsCancelled);
         metrics.gauge("peers.heard", () -> exchange.liveStates().size());
         metrics.gauge("dispatcher.round", () -> dispatcher.state().round());
         metrics.gauge(
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobContacts.java
@@ -77,6 +77,11 @@
         contactsByHost.computeIfAbsent(host, key -> new HashMap<>()).put(job, contact);
     }
 
+    /** Returns whether any entry host waits for a job. */
+    boolean isKnown(CallerJobId job) {
+        return contactsByJob.containsKey(job);
+    }
+
     /** Removes a job that has ended. */
     void remove(CallerJobId job) {
         Map<HostId, Contact> contacts = contactsByJob.remove(job);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/JobForwarder.java
@@ -27,14 +27,12 @@
 import org.banyanspoke.peer.PeerIdentity;
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.generated.Frame;
-import org.banyanspoke.peer.generated.PoolJobCancel;
 
 /** Sends callers' jobs to the dispatcher with the earliest expected start, local or remote; accepts jobs of peers. */
 final class JobForwarder implements EntryJobService {
     /** Network allowance on top of the caller's deadline, by which a dispatcher replies at the latest. */
     private static final long REPLY_MARGIN_MILLIS = 300;
 
-    private static final long CANCEL_TIMEOUT_MILLIS = 500;
     /** A lost dispatcher is replaced within this time. */
     private static final long NO_DISPATCHER_RETRY_MILLIS = 1_000;
 
@@ -55,6 +53,7 @@
     private final MonotonicClock clock;
     private final InputProgress input;
     private final JobContactExchange contactExchange;
+    private final JobCancellations cancellations;
     private final Map<CallerJobId, OpenJob> open = new HashMap<>();
     private final Set<OpenJob> waiting = new LinkedHashSet<>();
     private boolean draining;
@@ -86,7 +85,8 @@
         this.contactExchange =
                 new JobContactExchange(transport, context, directory, contacts, dispatcher, input, this::isAwaited);
         transport.handle(Frame.BodyCase.POOL_JOB, PeerHandler.cancelledOnDisconnect(this::onPeerJob));
-        transport.handle(Frame.BodyCase.POOL_JOB_CANCEL, ContextHandlers.runOn(context, this::onPeerCancel));
+        this.cancellations =
+                new JobCancellations(transport, context, directory, exchange, dispatcher, this::cancelHere);
     }
 
     /** Reports this host as not ready from now on, so that new connections go to other hosts. */
@@ -125,7 +125,7 @@
         OpenJob openJob = new OpenJob(job, new JobPlacement(job, router, clock), input.nowMillis(), onEnded);
         open.put(job.id(), openJob);
         place(openJob, NO_DISPATCHER);
-        return reason -> cancel(openJob, reason);
+        return reason -> cancel(openJob, reason, false);
     }
 
     /** Returns whether a caller waits for a job that was sent to a dispatcher. */
@@ -194,7 +194,7 @@
 
     /** A refused job has not run, so it is safe to send it to another dispatcher. */
     private void onOutcome(OpenJob job, JobOutcome outcome) {
-        if (outcome.kind() == JobOutcome.Kind.REFUSED && !job.cancelled()) {
+        if (outcome.kind() == JobOutcome.Kind.REFUSED && !outcome.cancelled() && !job.cancelled()) {
             place(job, outcome);
         } else {
             end(job, outcome);
@@ -244,16 +244,34 @@
     }
 
     @Override
-    public boolean cancel(CallerJobId id, String reason) {
+    public void cancel(CallerJobId id, String reason, Consumer<Boolean> onReply) {
+        if (cancelHere(id, reason)) {
+            observer.cancelled(id, new JobCancellations.Replies(0, 0, true));
+            onReply.accept(true);
+            return;
+        }
+        cancellations.cancelEverywhere(id, reason, replies -> {
+            observer.cancelled(id, replies);
+            onReply.accept(replies.known());
+        });
+    }
+
+    /** Cancels a job whose caller waits here or that is dispatched here. Returns whether there was one. */
+    private boolean cancelHere(CallerJobId id, String reason) {
         OpenJob job = open.get(id);
-        if (job == null) {
-            return false;
+        if (job != null) {
+            cancel(job, reason, true);
         }
-        cancel(job, reason);
-        return true;
+        boolean dispatchedHere = dispatcher.cancelForAll(id, reason);
+        return job != null || dispatchedHere;
     }
 
-    private void cancel(OpenJob job, String reason) {
+    /**
+     * Cancels an attempt of a job.
+     *
+     * @param requested whether the job was cancelled by request; otherwise the caller of this attempt has left
+     */
+    private void cancel(OpenJob job, String reason, boolean requested) {
         if (job.ended()) {
             return;
         }
@@ -261,29 +279,29 @@
         if (waiting.remove(job)) {
             end(job, JobOutcome.refused(reason, NO_DISPATCHER_RETRY_MILLIS));
         } else if (open.get(job.id()) == job) {
-            cancelAtDispatcher(job, reason);
+            cancelAtDispatcher(job, reason, requested);
         }
         // Otherwise a later attempt is open, whose dispatcher may have the same job. A dispatcher that has only the
         // earlier
         // attempt cancels it when it checks the contact with its caller.
     }
 
-    private void cancelAtDispatcher(OpenJob job, String reason) {
-        if (job.isDispatchedBy(host)) {
-            dispatcher.cancel(host, job.id(), reason);
+    private void cancelAtDispatcher(OpenJob job, String reason, boolean requested) {
+        if (!job.isDispatchedBy(host)) {
+            job.dispatcher().ifPresent(state -> cancelRemotely(state.host(), job.id(), reason, requested));
+        } else if (requested) {
+            dispatcher.cancelForAll(job.id(), reason);
         } else {
-            job.dispatcher().ifPresent(state -> cancelRemotely(state.host(), job.id(), reason));
+            dispatcher.cancel(host, job.id(), reason);
         }
     }
 
-    private void cancelRemotely(HostId to, CallerJobId id, String reason) {
-        PoolJobCancel message =
-                PoolJobCancel.newBuilder().setJob(id.value()).setReason(reason).build();
-        var unused = transport
-                .request(directory.address(to), Frame.newBuilder().setPoolJobCancel(message), CANCEL_TIMEOUT_MILLIS)
-                .subscribe(reply -> {}, error -> {
-                    // The dispatcher ends the job at the caller's deadline anyway, unless it has failed itself.
-                });
+    private void cancelRemotely(HostId to, CallerJobId id, String reason, boolean requested) {
+        if (requested) {
+            cancellations.cancelAt(to, id, reason);
+        } else {
+            cancellations.release(to, id, reason);
+        }
     }
 
     /**
@@ -312,10 +330,4 @@
                     }
                 }));
     }
-
-    private Frame.Builder onPeerCancel(PeerIdentity from, Frame request) {
-        PoolJobCancel cancel = request.getPoolJobCancel();
-        dispatcher.cancel(from.host(), new CallerJobId(cancel.getJob()), cancel.getReason());
-        return Frame.newBuilder().setPoolJobCancel(cancel);
-    }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolMessages.java
@@ -146,6 +146,7 @@
                 .setOutcome(PoolJobReply.Outcome.valueOf(outcome.kind().name()))
                 .setReason(outcome.reason())
                 .setRetryAfterMillis(outcome.retryAfterMillis())
+                .setCancelled(outcome.cancelled())
                 .build();
     }
 
@@ -166,6 +167,7 @@
         return new JobOutcome(
                 JobOutcome.Kind.valueOf(message.getOutcome().name()),
                 message.getReason(),
-                message.getRetryAfterMillis());
+                message.getRetryAfterMillis(),
+                message.getCancelled());
     }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
@@ -22,6 +22,8 @@
         REFUSED(40),
         /** A job failed, or its outcome is unknown. */
         NOT_DONE(40),
+        /** A caller cancelled a job. */
+        CANCELLED(20),
         /** A run ended without success. */
         RUN_LOST(40),
         /** The state of a backend server in the pool changed. */
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/ZoneDispatcher.java
@@ -35,6 +35,9 @@
     /** Time after a pause in which messages that were buffered during it are read. */
     private static final long CATCH_UP_MILLIS = 150;
 
+    /** Bounds the memory for the ids of cancelled jobs. */
+    private static final int MAX_CANCELLED_JOBS = 10_000;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final HostId host;
@@ -46,6 +49,8 @@
     private final ServerRegistry registry;
     private final MonotonicClock clock;
     private final LongSupplier wallClockMillis;
+    private final CancelledJobs cancelledJobs;
+    private long refusedAsCancelled;
     private long registration;
     private long round;
     private boolean draining;
@@ -75,6 +80,7 @@
         this.clock = clock;
         this.wallClockMillis = wallClockMillis;
         this.catchUpEndMillis = clock.millis();
+        this.cancelledJobs = new CancelledJobs(clock, MAX_CANCELLED_JOBS);
     }
 
     /** Sets the registration number that the store assigned to this process. */
@@ -260,6 +266,11 @@
      *     none or is this host
      */
     void submit(HostId from, PooledJob job, long knownMillis, Consumer<JobOutcome> onEnded) {
+        if (cancelledJobs.remainingMillis(job.id()) > 0) {
+            refusedAsCancelled++;
+            onEnded.accept(outcomeAfterCancellation(job.id()));
+            return;
+        }
         if (!dispatching()) {
             onEnded.accept(JobOutcome.refused("this host does not dispatch", 1));
             return;
@@ -274,7 +285,7 @@
         Consumer<JobOutcome> endOnce = outcome -> {
             if (ended.compareAndSet(false, true)) {
                 contacts.remove(job.id());
-                onEnded.accept(outcome);
+                onEnded.accept(withCancellation(job.id(), outcome));
             }
         };
         try {
@@ -301,6 +312,42 @@
         }
     }
 
+    /** A job that arrives after its cancellation is not started. It is not refused if an earlier submission has run. */
+    private JobOutcome outcomeAfterCancellation(CallerJobId job) {
+        return cancelledJobs.mayHaveRun(job)
+                ? JobOutcome.abandoned("the job was cancelled after a task had been started")
+                : JobOutcome.cancelled("the job was cancelled", cancelledJobs.remainingMillis(job));
+    }
+
+    /** Tells the entry host of a cancelled job, which would send a job that was only refused to another dispatcher. */
+    private JobOutcome withCancellation(CallerJobId job, JobOutcome outcome) {
+        long remainingMillis = cancelledJobs.remainingMillis(job);
+        if (remainingMillis > 0 && outcome.kind() == JobOutcome.Kind.REFUSED) {
+            return JobOutcome.cancelled(outcome.reason(), remainingMillis);
+        }
+        cancelledJobs.recordStarted(job);
+        return outcome;
+    }
+
+    /**
+     * Cancels a job, whichever entry hosts wait for it, and refuses it for some time if it arrives later.
+     *
+     * @return whether the job was in progress here
+     */
+    boolean cancelForAll(CallerJobId job, String reason) {
+        cancelledJobs.add(job);
+        boolean known = contacts.isKnown(job);
+        if (known) {
+            pool.cancel(job, reason);
+        }
+        return known;
+    }
+
+    /** Returns the number of jobs that were refused because they had been cancelled before they arrived. */
+    long refusedAsCancelled() {
+        return refusedAsCancelled;
+    }
+
     /** Removes an entry host from those that wait for a job; cancels the job if none is left. */
     void cancel(HostId from, CallerJobId job, String reason) {
         if (contacts.remove(job, from)) {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/JobForwarderTest.java
@@ -33,6 +33,7 @@
 import org.banyanspoke.peer.PeerTransport;
 import org.banyanspoke.peer.TransportLimits;
 import org.banyanspoke.peer.generated.Frame;
+import org.banyanspoke.peer.generated.PoolJobCancel;
 import org.banyanspoke.platform.StoreClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,12 +54,14 @@
     private final RecordingPool pool = new RecordingPool();
     private final PeerTransport transport = newTransport(SELF);
     private final List<JobOutcome> outcomes = new ArrayList<>();
+    private final HostDirectory directory = new HostDirectory(SELF);
     private final JobForwarder forwarder = newForwarder();
 
     /** Records the submitted jobs. */
     private static final class RecordingPool implements ServerPool {
         private final List<CallerJobId> submitted = new ArrayList<>();
         private final List<CallerJobId> cancelled = new ArrayList<>();
+        private final List<Consumer<JobOutcome>> callbacks = new ArrayList<>();
 
         @Override
         public void assign(Collection<ServerDescriptor> servers) {}
@@ -66,11 +69,13 @@
         @Override
         public void submit(PooledJob job, Consumer<JobOutcome> onEnded) {
             submitted.add(job.id());
+            callbacks.add(onEnded);
         }
 
         @Override
         public void cancel(CallerJobId id, String reason) {
             cancelled.add(id);
+            callbacks.forEach(each -> each.accept(JobOutcome.refused(reason, 200)));
         }
 
         @Override
@@ -104,7 +109,6 @@
     }
 
     private JobForwarder newForwarder() {
-        HostDirectory directory = new HostDirectory(SELF);
         FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L);
         JobContacts contacts = new JobContacts(SELF, clock, input::behindMillis, 200);
         ServerRegistry registry = new ServerRegistry(clock);
@@ -259,6 +263,87 @@
         }
     }
 
+    /** Review case 4: the hosts that had the job were not asked, and it was started later. */
+    @Nested
+    class ACancellation {
+        private final PeerTransport other = newTransport(new HostId("other"));
+        private final CompletableFuture<Boolean> known = new CompletableFuture<>();
+
+        @BeforeEach
+        void startTransports() throws Exception {
+            transport.start("127.0.0.1:0");
+            other.start("127.0.0.1:0");
+            pass(20);
+            pass(20);
+        }
+
+        @AfterEach
+        void stopTransports() throws Exception {
+            transport.stop();
+            other.stop();
+        }
+
+        private void cancelHere() {
+            context.runOnContext(
+                    unused -> forwarder.cancel(JOB, "cancelled by the caller", each -> known.complete(each)));
+        }
+
+        private Frame cancelAtOther() {
+            PoolJobCancel cancel = PoolJobCancel.newBuilder()
+                    .setJob(JOB.value())
+                    .setReason("cancelled by the caller")
+                    .setRequested(true)
+                    .build();
+            return other.request(transport.self().address(), Frame.newBuilder().setPoolJobCancel(cancel), 5_000)
+                    .blockingGet()
+                    .frame();
+        }
+
+        @Test
+        void ofAnUnknownJobAsksTheOtherHosts() throws Exception {
+            other.handle(
+                    Frame.BodyCase.POOL_JOB_CANCEL,
+                    (from, request) -> Single.just(Frame.newBuilder()
+                            .setPoolJobCancel(
+                                    request.getPoolJobCancel().toBuilder().setKnown(true))));
+            directory.recordAddress(new HostId("other"), other.self().address());
+            cancelHere();
+            assertThat(known.get(10, TimeUnit.SECONDS)).isTrue();
+        }
+
+        /** A host that does not reply must not keep the caller waiting. */
+        @Test
+        void skipsAHostThatDoesNotReply() throws Exception {
+            other.handle(Frame.BodyCase.POOL_JOB_CANCEL, (from, request) -> Single.never());
+            directory.recordAddress(new HostId("other"), other.self().address());
+            cancelHere();
+            assertThat(known.get(10, TimeUnit.SECONDS)).isFalse();
+        }
+
+        @Test
+        void ofAJobThatNoHostKnowsEndsWithoutOtherHosts() throws Exception {
+            cancelHere();
+            assertThat(known.get(10, TimeUnit.SECONDS)).isFalse();
+        }
+
+        @Test
+        void atAnotherHostEndsTheJobOfACallerHere() throws Exception {
+            submit();
+            assertThat(cancelAtOther().getPoolJobCancel().getKnown()).isTrue();
+            assertThat(pool.cancelled).containsExactly(JOB);
+            assertThat(outcomes).hasSize(1).allMatch(outcome -> outcome.kind() == JobOutcome.Kind.REFUSED);
+            assertThat(forwarder.openJobs()).isZero();
+        }
+
+        @Test
+        void atAnotherHostPreventsALaterStartHere() throws Exception {
+            assertThat(cancelAtOther().getPoolJobCancel().getKnown()).isFalse();
+            submit();
+            assertThat(pool.submitted).isEmpty();
+            assertThat(outcomes).hasSize(1).allMatch(JobOutcome::cancelled);
+        }
+    }
+
     /** The check of such a host's jobs was never sent, so none of them was started. */
     @Test
     void asksAnEntryHostThatTheDirectoryDoesNotName() throws Exception {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -183,6 +183,53 @@
         }
     }
 
+    /** Review case 4: the response was 410, and the job was started when there was capacity for it. */
+    @Nested
+    class ACancellationAtAnotherHostThanTheCallers {
+        private static final long DEADLINE_MILLIS = 10_000;
+        private static final int ALL_SLOTS = SERVERS * CAPACITY_MILLICORES / TASK_MILLICORES;
+
+        private String sendPatiently(HostUnderTest host, int tasks, long runMillis) {
+            String job = String.format("%016x", sent.size() + 1);
+            sent.put(job, host.submit(job, tasks, TASK_MILLICORES, runMillis, DEADLINE_MILLIS, 2 * DEADLINE_MILLIS));
+            return job;
+        }
+
+        @Test
+        void preventsTheStartOfAWaitingJob() throws Exception {
+            HostUnderTest dispatcher = hosts.get(0);
+            HostUnderTest other = hosts.get(1);
+            String running = sendPatiently(other, ALL_SLOTS, 3_000);
+            within(5_000, () -> ledger.startedTasks(running) == ALL_SLOTS);
+            String sentToOther = sendPatiently(other, 2, 1_500);
+            String sentToDispatcher = sendPatiently(dispatcher, 2, 1_500);
+            within(2_000, () -> dispatcher.metric("pool_queued_jobs") == 2);
+            assertThat(dispatcher.cancel(sentToOther)).isEqualTo(200);
+            assertThat(other.cancel(sentToDispatcher)).isEqualTo(200);
+            assertThat(status(sentToOther)).isEqualTo(503);
+            assertThat(status(sentToDispatcher)).isEqualTo(503);
+            assertCompleted(running);
+            assertCompleted(send(dispatcher, 2, 100));
+            assertThat(ledger.startedTasks(sentToOther)).isZero();
+            assertThat(ledger.startedTasks(sentToDispatcher)).isZero();
+        }
+
+        @Test
+        void stopsARunningJob() throws Exception {
+            String job = sendPatiently(hosts.get(0), 2, 6_000);
+            within(5_000, () -> ledger.startedTasks(job) == 2);
+            assertThat(hosts.get(1).cancel(job)).isEqualTo(200);
+            assertThat(status(job)).isEqualTo(504);
+            within(3_000, ledger::idle);
+            assertThat(ledger.completedTasks(job)).isZero();
+        }
+
+        @Test
+        void ofAnUnknownJobIsAnsweredWithGone() throws Exception {
+            assertThat(hosts.get(1).cancel("00000000000000ff")).isEqualTo(410);
+        }
+    }
+
     @Nested
     class AStop {
         @Test
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PoolMessagesTest.java
@@ -51,7 +51,7 @@
     @Test
     void everyOutcomeSurvivesRoundTrip() {
         for (JobOutcome.Kind kind : JobOutcome.Kind.values()) {
-            JobOutcome outcome = new JobOutcome(kind, "reason", 7);
+            JobOutcome outcome = new JobOutcome(kind, "reason", 7, kind == JobOutcome.Kind.REFUSED);
             assertThat(PoolMessages.decode(PoolMessages.encode(outcome))).isEqualTo(outcome);
         }
     }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ZoneDispatcherTest.java
@@ -37,6 +37,9 @@
     private final ServerRegistry registry = new ServerRegistry(() -> 1);
     private final RecordingPool pool = new RecordingPool();
     private long nowMillis = 5_000;
+    /** Outcome of the job submitted last; null if it has not ended. */
+    private JobOutcome last;
+
     private long wallClockMillis = 1_800_000_000_000L;
     private final JobContacts contacts =
             new JobContacts(new HostId("weak"), () -> TimeUnit.MILLISECONDS.toNanos(nowMillis), () -> 0, 200);
@@ -60,6 +63,11 @@
         private final List<CallerJobId> cancelled = new ArrayList<>();
         private boolean released;
         private boolean failing;
+        /** Whether submitted jobs wait until they are cancelled. */
+        private boolean full;
+
+        private Consumer<JobOutcome> waiting;
+        private JobOutcome cancelOutcome = JobOutcome.refused("cancelled", 200);
 
         @Override
         public void assign(Collection<ServerDescriptor> servers) {
@@ -72,12 +80,19 @@
             if (failing) {
                 throw new IllegalStateException("simulated error");
             }
+            if (full) {
+                waiting = onEnded;
+                return;
+            }
             onEnded.accept(JobOutcome.completed());
         }
 
         @Override
         public void cancel(CallerJobId id, String reason) {
             cancelled.add(id);
+            if (waiting != null) {
+                waiting.accept(cancelOutcome);
+            }
         }
 
         @Override
@@ -123,7 +138,12 @@
     }
 
     private JobOutcome.Kind submitFrom(HostId from) {
-        JobOutcome.Kind[] kind = new JobOutcome.Kind[1];
+        submitTo(from);
+        return last == null ? null : last.kind();
+    }
+
+    private void submitTo(HostId from) {
+        last = null;
         PooledJob job = new PooledJob(
                 new CallerJobId("00000000000000aa"),
                 new QueuePolicy("q", "s", 0, 3, 1.6, 60),
@@ -132,8 +152,7 @@
                 new TaskRequirements(1, 1, 0, 60, "", "", 0),
                 0,
                 1_500);
-        dispatcher.submit(from, job, nowMillis, outcome -> kind[0] = outcome.kind());
-        return kind[0];
+        dispatcher.submit(from, job, nowMillis, outcome -> last = outcome);
     }
 
     @Nested
@@ -170,6 +189,65 @@
         }
     }
 
+    /** Review case 4: a job that was cancelled at another entry host was started later. */
+    @Nested
+    class ACancelledJob {
+        private static final HostId ENTRY_HOST = new HostId("other");
+        private static final CallerJobId JOB = new CallerJobId("00000000000000aa");
+
+        @Test
+        void isCancelledForTheCallersOfAllHosts() {
+            pool.full = true;
+            submitFrom(ENTRY_HOST);
+            submitLocally();
+            assertThat(dispatcher.cancelForAll(JOB, "cancelled by the caller")).isTrue();
+            assertThat(pool.cancelled).containsExactly(JOB);
+        }
+
+        /** An entry host sends a job that was only refused to another dispatcher. */
+        @Test
+        void isNotOnlyRefused() {
+            pool.full = true;
+            submitFrom(ENTRY_HOST);
+            dispatcher.cancelForAll(JOB, "cancelled by the caller");
+            assertThat(last.kind()).isEqualTo(JobOutcome.Kind.REFUSED);
+            assertThat(last.cancelled()).isTrue();
+        }
+
+        @Test
+        void isRefusedIfItArrivesLater() {
+            assertThat(dispatcher.cancelForAll(JOB, "cancelled by the caller")).isFalse();
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.REFUSED);
+            assertThat(last.cancelled()).isTrue();
+            assertThat(dispatcher.refusedAsCancelled()).isEqualTo(1);
+            nowMillis += last.retryAfterMillis();
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.COMPLETED);
+        }
+
+        /** The answer must not say that no task has run. */
+        @Test
+        void isNotRefusedIfItArrivesAgainAfterItHasRun() {
+            pool.full = true;
+            pool.cancelOutcome = JobOutcome.abandoned("cancelled");
+            submitFrom(ENTRY_HOST);
+            dispatcher.cancelForAll(JOB, "cancelled by the caller");
+            assertThat(last.kind()).isEqualTo(JobOutcome.Kind.ABANDONED);
+            dispatcher.cancelForAll(JOB, "cancelled by the caller");
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.ABANDONED);
+        }
+
+        /** Callers send a job again after they have closed its connection. */
+        @Test
+        void isAcceptedAgainIfItsCallerHasOnlyLeft() {
+            pool.full = true;
+            submitFrom(ENTRY_HOST);
+            dispatcher.cancel(ENTRY_HOST, JOB, "the caller closed the connection");
+            assertThat(last.cancelled()).isFalse();
+            pool.full = false;
+            assertThat(submitFrom(ENTRY_HOST)).isEqualTo(JobOutcome.Kind.COMPLETED);
+        }
+    }
+
     /** The caller of such a job got no answer, and tasks that had started ran on. */
     @Test
     void abandonsAJobWhoseSubmissionFailsUnexpectedly() {
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -163,6 +163,15 @@
         return http.sendAsync(request, BodyHandlers.ofString());
     }
 
+    /** Cancels a job and returns the HTTP status of the response. */
+    public int cancel(String job) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + "/q/" + job))
+                .timeout(Duration.ofSeconds(10))
+                .DELETE()
+                .build();
+        return http.send(request, BodyHandlers.discarding()).statusCode();
+    }
+
     /** Returns the HTTP status of the readiness check; 0 if there is no answer. */
     public int readiness() throws InterruptedException {
         return get(readinessPort, "/readiness").map(HttpResponse::statusCode).orElse(0);
