--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -452,6 +452,8 @@
 
         @Override
         public void restarted(OwnedServer server) {
+            // The server may have restarted on other hardware.
+            runTimes.forget(server.descriptor().id());
             server.claim(tokens.next());
         }
 
