--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/HostUnderTest.java
@@ -14,11 +14,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 /** An entry host as a separate process, with its settings file and its output. */
 public final class HostUnderTest {
+    private static final long KIBIBYTE = 1_024;
     private static final int FIRST_PORT = 15_000;
     private static final int PORT_COUNT = 15_000;
+    /** As in {@code deploy/system.toml}. */
+    private static final String DEFAULT_HEAP = "-Xmx160m";
+
     /** Concurrent test processes start at different ports. */
     private static final AtomicInteger NEXT_PORT =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 251 % PORT_COUNT));
@@ -79,9 +84,18 @@
 
     /** Starts the process. */
     public void start() throws IOException {
+        start(DEFAULT_HEAP);
+    }
+
+    /**
+     * Starts the process with a heap limit of its own.
+     *
+     * @param heapOption option of the Java runtime, such as {@code -Xmx48m}
+     */
+    public void start(String heapOption) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx160m",
+                heapOption,
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-Djava.util.logging.manager=org.jboss.logmanager.LogManager",
@@ -124,6 +138,22 @@
         return process;
     }
 
+    /** Returns the resident set of the process. */
+    public long residentBytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * KIBIBYTE)
+                .findFirst()
+                .orElse(0);
+    }
+
+    /** Returns the number of open descriptors of the process. */
+    public int openDescriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return (int) open.count();
+        }
+    }
+
     /** Kills the process (SIGKILL). */
     public void kill() throws InterruptedException {
         process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
