Limits for connections to the metrics listener

The listener had no limit and no time limits. It gets a guard like the readiness listener. A request target without a path, such as an authority, is answered with 404; it raised a NullPointerException. HostMetricsTest and PlatformProcessesTest pass, which read metrics through the guard.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
@@ -6,6 +6,8 @@
 import io.prometheus.client.dropwizard.DropwizardExports;
 import io.prometheus.client.exporter.common.TextFormat;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -18,6 +20,8 @@
 import org.banyanspoke.core.pool.RunKey;
 import org.banyanspoke.core.pool.ServerCommands.EndKind;
 import org.banyanspoke.daemon.logging.EventLog;
+import org.banyanspoke.platform.ConnectionGuard;
+import org.banyanspoke.platform.ConnectionLimits;
 import org.jboss.logging.Logger;
 
 /** Metrics of an entry host, served in the Prometheus text format. */
@@ -80,7 +84,9 @@
 
     /** Serves the metrics over HTTP. If the port cannot be bound, logs an error; the host runs without metrics. */
     void serve(Vertx vertx, String ip, int port) {
-        vertx.createHttpServer()
+        HttpServer server = vertx.createHttpServer(ConnectionGuard.configure(new HttpServerOptions()));
+        new ConnectionGuard(vertx, "metrics", ConnectionLimits.forChecks())
+                .guard(server)
                 .requestHandler(this::onRequest)
                 .listen(port, ip)
                 .onFailure(
@@ -91,7 +97,8 @@
     }
 
     private void onRequest(HttpServerRequest request) {
-        if (!request.path().equals(PATH)) {
+        // A request target without a path, such as an authority, has none.
+        if (!PATH.equals(request.path())) {
             var unused = request.response().setStatusCode(404).end();
             return;
         }
