Limits for connections to the peer port before their Hello

Clients that are no entry hosts could open any number of connections there, send up to a fragment of 256 KB each without its end, and stay for two minutes. Until its Hello a connection has 3 s and 64 KB, and at most 256 are open; the oldest is closed first. UnidentifiedConnectionsTest (3 tests) and PeerTransportTest (18) pass; the new tests were not run on the code before, which has no such limits.

--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/PeerTransport.java
@@ -30,6 +30,7 @@
 import org.banyanspoke.peer.internal.FramePipeline;
 import org.banyanspoke.peer.internal.InboundConnection;
 import org.banyanspoke.peer.internal.OutboundConnection;
+import org.banyanspoke.peer.internal.UnidentifiedConnections;
 
 /**
  * Exchanges frames with peers. Requests to one peer share one connection, which is opened on first use, closed when
@@ -44,6 +45,7 @@
     private final Incarnation incarnation;
     private final TransportLimits limits;
     private final FrameFilter filter;
+    private final UnidentifiedConnections unidentified = new UnidentifiedConnections();
     private final Map<Frame.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
     private final Map<String, OutboundConnection> connections = new ConcurrentHashMap<>();
     private final AtomicLong lastRequestId = new AtomicLong();
@@ -107,6 +109,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(unidentified.newLimiter());
                         FramePipeline.init(channel, limits, counter, newInboundConnection());
                     }
                 });
--- a/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/InboundConnection.java
+++ b/banyanspoke-peer/src/main/java/org/banyanspoke/peer/internal/InboundConnection.java
@@ -62,6 +62,7 @@
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
         if (frame.getBodyCase() == Frame.BodyCase.HELLO) {
             peer = HelloCodec.decode(frame.getHello());
+            UnidentifiedConnections.identified(context);
         }
         if (peer == null) {
             throw new IllegalArgumentException("expected Hello as the first frame");
