Tests of excessive clients check the readiness and what is released

In addition to the bounds, which stay: the readiness check is answered during the load, and all descriptors and held bytes are released once the clients are gone.

--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/ExcessiveClientsTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/ExcessiveClientsTest.java
@@ -39,6 +39,9 @@
     /** The clients' connections, and the files, listeners and connections of the process itself. */
     private static final int DESCRIPTOR_LIMIT = CLIENTS + 200;
 
+    /** Connections of the ordinary caller, to the server and of a scrape, which may be new or not. */
+    private static final int NEW_DESCRIPTORS = 10;
+
     private static final int MAX_BODY_BYTES = 262_144;
     private static final int LARGE_CHUNK_BYTES = 32_768;
     private static final int SMALL_CHUNK_BYTES = 4;
@@ -124,6 +127,7 @@
         try (ClientCrowd crowd = new ClientCrowd(host.callerPort(), CLIENTS, inputs)) {
             crowd.send();
             assertWithinBounds();
+            Eventually.within(ANSWER_MILLIS, () -> host.readiness() == 200, "the readiness check is answered");
             assertThat(ordinaryRequest().statusCode()).as("during the load").isIn(200, 503);
         }
         assertThat(ordinaryRequest().statusCode())
@@ -134,6 +138,10 @@
                 ANSWER_MILLIS,
                 () -> openDescriptors() < idleDescriptors + CLIENTS / 2,
                 "the descriptors of closed connections are released");
+        Eventually.within(
+                ANSWER_MILLIS,
+                () -> openDescriptors() <= idleDescriptors + NEW_DESCRIPTORS && host.metric("callers_held_bytes") == 0,
+                "all that the clients held is released");
     }
 
     private int openDescriptors() {
