Tasks wait for a server near their data if they are expected to end earlier

Cause: the selection compared only servers that are free now. A task that names a rack waited for it whenever its far run would be late, whether or not a near server was about to be free, until the near run was too late as well, and then ran far. If its far run was in time, it could run far while near servers were free.

Change: NearPlacement compares the expected ends of the near and the far run. The near start comes from the expected ends of runs on near servers and the tasks that wait for them (NearRoom, RoomTimeline), computed once in a pass for each rack. A wait has an end that is not extended, and waiting tasks do not count as work ahead of others. Inactive without a rack or with a factor of 1.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolListener.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolListener.java
@@ -29,6 +29,26 @@
     /** Called when a run has ended or can no longer be on its server. */
     default void onRunEnded(RunKey run, ServerId server, ServerCommands.EndKind kind, long runMillis) {}
 
+    /** How the wait of a task for a server near its data has ended. */
+    enum NearWaitEnd {
+        /** Started near its data. */
+        NEAR,
+        /** Started elsewhere. */
+        FAR,
+        /** The job ended first. */
+        NOT_STARTED
+    }
+
+    /**
+     * Called when tasks begin to wait for servers near their data although others are free.
+     *
+     * @param untilMillis time on the pool's clock at which they wait no longer
+     */
+    default void onNearWaitBegun(CallerJobId job, int tasks, long untilMillis) {}
+
+    /** Called when the wait of one task for a server near its data has ended. */
+    default void onNearWaitEnded(CallerJobId job, NearWaitEnd end, long waitedMillis) {}
+
     /** Called when the pool's view of a server's state has changed. */
     default void onServerStateChanged(ServerId server, String state, String reason) {}
 }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -54,6 +54,7 @@
     private final Map<CallerJobId, JobProgress> jobs = new LinkedHashMap<>();
     private final JobQueue queue = new JobQueue();
     private final RunTimeModel runTimes = new RunTimeModel();
+    private final NearPlacement nearPlacement;
     private final ServerSelector selector;
     private final OwnedServer.Listener serverListener = new ServerListener();
     private StartPermission startPermission = StartPermission.ALL_JOBS;
@@ -77,7 +78,8 @@
         this.inputClock = inputClock;
         this.contact = contact;
         this.listener = listener;
-        this.selector = new ServerSelector(runTimes, settings.remoteRackFactor());
+        this.nearPlacement = new NearPlacement(settings.remoteRackFactor(), listener);
+        this.selector = new ServerSelector(runTimes, nearPlacement);
     }
 
     @Override
@@ -192,16 +194,17 @@
         double workAhead = 0;
         for (JobProgress other : queue.all()) {
             if (JobQueue.precedes(other, progress.priority(), nowMillis)) {
-                workAhead += pendingWork(other);
+                workAhead += pendingWork(other, nowMillis);
             }
         }
-        double ownWork = pendingWork(progress) / 2;
+        double ownWork = pendingWork(progress, nowMillis) / 2;
         double freeWork = (double) free * requirements.estimateMillis();
         return (long) (Math.max(0, workAhead + ownWork - freeWork) / capacity);
     }
 
-    private static double pendingWork(JobProgress job) {
-        return (double) job.pendingTasks()
+    /** Returns the work that waits for any server; tasks that wait for a near one delay no others. */
+    private static double pendingWork(JobProgress job, long nowMillis) {
+        return (double) job.competingTasks(nowMillis)
                 * job.requirements().cpuMillicores()
                 * job.requirements().estimateMillis();
     }
@@ -253,6 +256,7 @@
         long waitedMillis = (progress.started() ? progress.firstStartMillis() : nowMillis) - progress.arrivalMillis();
         queue.remove(progress);
         progress.end(outcome);
+        nearPlacement.onJobEnded(progress, nowMillis);
         listener.onJobEnded(
                 progress.job(),
                 outcome,
@@ -376,9 +380,9 @@
     private void startPendingTasks(ServerSelector.Candidates candidates, long nowMillis) {
         int maxFreeCpu = candidates.maxFreeCpu();
         for (JobProgress progress : queue.ordered(nowMillis)) {
-            if (progress.requirements().cpuMillicores() <= maxFreeCpu
-                    && hasContact(progress)
-                    && startTasks(progress, candidates, nowMillis)) {
+            if (progress.requirements().cpuMillicores() > maxFreeCpu) {
+                candidates.near().skip(progress);
+            } else if (hasContact(progress) && startTasks(progress, candidates, nowMillis)) {
                 maxFreeCpu = candidates.maxFreeCpu();
             }
         }
@@ -399,7 +403,8 @@
             }
             startedAny = true;
             RunKey key = progress.startNextTask(server, nowMillis);
-            long expectedMillis = (long) selector.expectedMillis(progress.requirements(), server.descriptor());
+            nearPlacement.onStarted(progress, server.descriptor(), nowMillis);
+            long expectedMillis = (long) selector.expectedMillis(progress, server.descriptor());
             listener.onRunStarted(key, server.descriptor().id(), expectedMillis);
             server.start(
                     new Run(key, progress, nowMillis, expectedMillis),
@@ -422,13 +427,14 @@
                 runningWork += server.runningWork();
             }
         }
+        long nowMillis = clock.millis();
         double queuedWork = 0;
         long queuedMillicores = 0;
         int unstartedJobs = 0;
         for (JobProgress progress : queue.all()) {
-            queuedWork += pendingWork(progress);
-            queuedMillicores +=
-                    (long) progress.pendingTasks() * progress.requirements().cpuMillicores();
+            queuedWork += pendingWork(progress, nowMillis);
+            queuedMillicores += (long) progress.competingTasks(nowMillis)
+                    * progress.requirements().cpuMillicores();
             unstartedJobs += progress.started() ? 0 : 1;
         }
         long runMillis = usedCpu == 0 ? 0 : runningWork / usedCpu;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -38,6 +38,7 @@
     private boolean started;
     private long firstStartMillis;
     private JobOutcome outcome;
+    private NearWait nearWait;
 
     /**
      * @param job the job
@@ -110,6 +111,20 @@
         return pending.size();
     }
 
+    /** Returns the number of pending tasks that start as soon as any server has room, which delays other tasks. */
+    int competingTasks(long nowMillis) {
+        return nearWait == null ? pending.size() : Math.max(0, pending.size() - nearWait.heldTasks(nowMillis));
+    }
+
+    /** Returns the wait for servers near the data of this job, or null if there has been none. */
+    NearWait nearWait() {
+        return nearWait;
+    }
+
+    void setNearWait(NearWait wait) {
+        nearWait = wait;
+    }
+
     boolean started() {
         return started;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -136,6 +136,16 @@
         return runningWork;
     }
 
+    /** Returns the expected free capacity over time. */
+    RoomTimeline timeline(long nowMillis) {
+        RoomTimeline timeline = new RoomTimeline(
+                nowMillis, freeCpu(), descriptor.memoryMegabytes() - usedMemory, descriptor.gpus() - usedGpus);
+        for (Run run : runs.values()) {
+            timeline.addRelease(run.expectedEndMillis(nowMillis), run.cpuMillicores, run.memoryMegabytes, run.gpus);
+        }
+        return timeline;
+    }
+
     boolean isUsable() {
         return state == State.USABLE && !descriptor.draining() && orphanRuns.isEmpty() && !closed;
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
@@ -16,6 +16,9 @@
         STOPPED
     }
 
+    /** Progress in whole percent is too coarse below this to extrapolate the run time. */
+    private static final int MIN_MEANINGFUL_PERCENT = 10;
+
     final RunKey key;
     final JobProgress job;
     final int cpuMillicores;
@@ -44,6 +47,19 @@
         this.lastReportMillis = startSentMillis;
     }
 
+    /** Returns when the run is expected to end, or {@link RoomTimeline#NEVER} if that is not known. */
+    long expectedEndMillis(long nowMillis) {
+        if (isStopping()) {
+            return RoomTimeline.NEVER;
+        }
+        long endMillis = startSentMillis
+                + (percentDone < MIN_MEANINGFUL_PERCENT
+                        ? expectedMillis
+                        : 100 * (lastReportMillis - startSentMillis) / percentDone);
+        // A run that is overdue is expected to take as much longer as it is overdue.
+        return endMillis + 2 * Math.max(0, nowMillis - endMillis);
+    }
+
     /** Returns the expected work from start to end, in millicore-milliseconds. */
     long expectedWork() {
         return cpuMillicores * expectedMillis;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
@@ -24,6 +24,11 @@
         return !halfOpen || runs == 0;
     }
 
+    /** Returns whether the server has not failed since its last success often enough to be paused. */
+    boolean isClosed() {
+        return !halfOpen;
+    }
+
     void recordSuccess() {
         consecutiveFailures = 0;
         halfOpen = false;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
@@ -11,20 +11,20 @@
 /**
  * Selects the server for the next task of a job: the slowest one on which the task still meets its target, so that fast
  * servers stay free for long tasks. If no server, busy ones included, can meet the target, selects the fastest. Ties go
- * to the server with the least free capacity.
+ * to the server with the least free capacity. A server near the task's data comes first if it meets the target.
  */
 final class ServerSelector {
     /**
      * Allows for tasks of a job that differ in run time: the longest one determines whether the job meets its target.
      */
-    private static final double RUN_TIME_MARGIN = 1.1;
+    static final double RUN_TIME_MARGIN = 1.1;
 
     private final RunTimeModel runTimes;
-    private final double remoteRackFactor;
+    private final NearPlacement nearPlacement;
 
-    ServerSelector(RunTimeModel runTimes, double remoteRackFactor) {
+    ServerSelector(RunTimeModel runTimes, NearPlacement nearPlacement) {
         this.runTimes = runTimes;
-        this.remoteRackFactor = remoteRackFactor;
+        this.nearPlacement = nearPlacement;
     }
 
     /**
@@ -43,7 +43,7 @@
                 }
             }
         }
-        return new Candidates(available, fastestFactors);
+        return new Candidates(available, fastestFactors, nearPlacement.new Pass(servers, runTimes::factor));
     }
 
     /**
@@ -52,8 +52,9 @@
      * @param available usable servers with enough free processor capacity for the smallest pending task
      * @param fastestFactors ratio of run time to estimate on the fastest usable server of each service, busy ones
      *     included
+     * @param near decisions on tasks that name the rack of their data
      */
-    record Candidates(List<OwnedServer> available, Map<String, Double> fastestFactors) {
+    record Candidates(List<OwnedServer> available, Map<String, Double> fastestFactors, NearPlacement.Pass near) {
         /** Returns the largest free processor capacity of any server, in thousandths of a core. */
         int maxFreeCpu() {
             int max = 0;
@@ -66,42 +67,60 @@
 
     /** Returns the selected server, or null if none is eligible or the task should wait for a busy one. */
     OwnedServer select(JobProgress job, Candidates candidates, long nowMillis) {
+        boolean rackMatters = nearPlacement.concerns(job);
         OwnedServer best = null;
         double bestMillis = 0;
         boolean bestInTime = false;
+        boolean bestNear = false;
+        double fastestMillis = Double.MAX_VALUE;
         for (OwnedServer server : candidates.available()) {
             if (!isEligible(job, server, nowMillis)) {
                 continue;
             }
-            double millis = expectedMillis(job.requirements(), server.descriptor());
+            double millis = expectedMillis(job, server.descriptor());
             if (nowMillis + millis > job.callerDeadlineMillis()) {
                 continue;
             }
+            fastestMillis = Math.min(fastestMillis, millis);
             boolean inTime = isInTime(job, millis, nowMillis);
-            if (best == null || isBetter(inTime, millis, server, bestInTime, bestMillis, best)) {
+            boolean near = rackMatters && inTime && NearPlacement.isNear(job, server.descriptor());
+            if (best == null
+                    || (near != bestNear ? near : isBetter(inTime, millis, server, bestInTime, bestMillis, best))) {
                 best = server;
                 bestMillis = millis;
                 bestInTime = inTime;
+                bestNear = near;
             }
         }
+        if (best == null) {
+            candidates.near().skip(job);
+            return null;
+        }
+        if (rackMatters && !bestNear && candidates.near().waits(job, fastestMillis, nowMillis)) {
+            return null;
+        }
         // If a server that is now busy could still meet the target, the task waits for it rather than being certainly
         // late.
         return bestInTime || !canBeInTime(job, candidates, nowMillis) ? best : null;
     }
 
-    private static boolean canBeInTime(JobProgress job, Candidates candidates, long nowMillis) {
+    /** Near servers are left out here if the rack matters, as the wait for them is bounded. */
+    private boolean canBeInTime(JobProgress job, Candidates candidates, long nowMillis) {
         Double factor = candidates.fastestFactors().get(job.job().queuePolicy().service());
-        return factor != null && isInTime(job, factor * job.requirements().estimateMillis(), nowMillis);
+        if (factor == null) {
+            return false;
+        }
+        double millis = factor * job.requirements().estimateMillis() * nearPlacement.farFactor(job);
+        return isInTime(job, millis, nowMillis);
     }
 
     private static boolean isInTime(JobProgress job, double millis, long nowMillis) {
         return nowMillis + RUN_TIME_MARGIN * millis <= job.estimatedTargetMillis();
     }
 
-    double expectedMillis(TaskRequirements requirements, ServerDescriptor server) {
-        double millis = runTimes.expectedMillis(server, requirements.estimateMillis());
-        boolean remoteRack = !requirements.rack().isEmpty() && !server.labels().contains(requirements.rack());
-        return remoteRack ? millis * remoteRackFactor : millis;
+    double expectedMillis(JobProgress job, ServerDescriptor server) {
+        return runTimes.expectedMillis(server, job.requirements().estimateMillis())
+                * nearPlacement.runTimeFactor(job, server);
     }
 
     private static boolean isBetter(
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedJobs.java
@@ -39,14 +39,25 @@
         return id;
     }
 
+    /** Submits a job whose tasks are slower outside a rack. */
+    CallerJobId submitWithRack(QueuePolicy policy, int tasks, long estimateMillis, String rack) {
+        CallerJobId id = new CallerJobId(String.format("%016x", ids.size() + 1));
+        TaskRequirements requirements = new TaskRequirements(CPU_MILLICORES, 64, 0, estimateMillis, "", rack, 0);
+        submit(new PooledJob(id, policy, "work", tasks, requirements, 0, 1_500));
+        return id;
+    }
+
     void submit(CallerJobId id, QueuePolicy policy, int tasks, long estimateMillis) {
         submit(id, policy, tasks, estimateMillis, 1_500);
     }
 
     private void submit(CallerJobId id, QueuePolicy policy, int tasks, long estimateMillis, long callerTimeoutMillis) {
-        ids.add(id);
-        PooledJob job = new PooledJob(id, policy, "work", tasks, requirements(estimateMillis), 0, callerTimeoutMillis);
-        sent.put(id, job);
+        submit(new PooledJob(id, policy, "work", tasks, requirements(estimateMillis), 0, callerTimeoutMillis));
+    }
+
+    void submit(PooledJob job) {
+        ids.add(job.id());
+        sent.put(job.id(), job);
         long submittedAtMillis = simulation.millis();
         pool.submit(job, recordEnd(job, submittedAtMillis));
     }
@@ -64,6 +75,11 @@
         return sent.get(id).requirements().estimateMillis();
     }
 
+    /** Returns the rack of a job's data; empty for none. */
+    String rack(CallerJobId id) {
+        return sent.get(id).requirements().rack();
+    }
+
     /** Returns the number of submitted jobs of a class. */
     long sent(QueuePolicy policy) {
         return sent.values().stream()
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToLongFunction;
 import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.api.ids.ZoneId;
@@ -39,6 +40,8 @@
     final List<String> violations = new ArrayList<>();
     final Map<ServerId, Server> servers = new LinkedHashMap<>();
     ToLongFunction<RunKey> runMillis = run -> 100;
+    /** Factor on the run time that depends on the server, in addition to its slowdown. */
+    ToDoubleBiFunction<RunKey, ServerDescriptor> placementFactor = (run, server) -> 1;
     /** Whether the next start command fails with an unchecked exception. */
     boolean failNextStart;
 
@@ -128,8 +131,12 @@
             startTimeMillis = nowMillis;
         }
 
+        private double totalMillis(RunKey run) {
+            return runMillis.applyAsLong(run) * slowdown * placementFactor.applyAsDouble(run, descriptor);
+        }
+
         private int percent(RunKey run, Task task) {
-            double totalMillis = runMillis.applyAsLong(run) * slowdown;
+            double totalMillis = totalMillis(run);
             return fault == StartFault.HANGS
                     ? 0
                     : (int) Math.min(99, 100 * (nowMillis - task.startedMillis) / totalMillis);
@@ -158,17 +165,13 @@
     }
 
     Server add(String id, String kind, int cpuMillicores) {
+        return add(id, List.of(kind), cpuMillicores);
+    }
+
+    /** Adds a server with labels, of which the first is its hardware kind. */
+    Server add(String id, List<String> labels, int cpuMillicores) {
         ServerDescriptor descriptor = new ServerDescriptor(
-                new ServerId(id),
-                SERVICE,
-                "10.0.0.1:1",
-                new ZoneId("a"),
-                List.of(kind),
-                cpuMillicores,
-                32_000,
-                0,
-                false,
-                1);
+                new ServerId(id), SERVICE, "10.0.0.1:1", new ZoneId("a"), labels, cpuMillicores, 32_000, 0, false, 1);
         Server server = new Server(descriptor);
         servers.put(descriptor.id(), server);
         return server;
@@ -277,7 +280,7 @@
         server.extend(command.deadlineMillis());
         if (server.fault != StartFault.HANGS) {
             EndKind kind = server.fault == StartFault.FAILS ? EndKind.FAILED : EndKind.DONE;
-            long millis = kind == EndKind.FAILED ? 5 : (long) (runMillis.applyAsLong(command.run()) * server.slowdown);
+            long millis = kind == EndKind.FAILED ? 5 : (long) server.totalMillis(command.run());
             after(millis, () -> {
                 if (server.running.get(command.run()) == task) {
                     server.end(command.run(), kind);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/CompositePoolListener.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/CompositePoolListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolListener;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -32,6 +33,16 @@
         listeners.forEach(each -> each.onRunEnded(run, server, kind, runMillis));
     }
 
+    @Override
+    public void onNearWaitBegun(CallerJobId job, int tasks, long untilMillis) {
+        listeners.forEach(each -> each.onNearWaitBegun(job, tasks, untilMillis));
+    }
+
+    @Override
+    public void onNearWaitEnded(CallerJobId job, NearWaitEnd end, long waitedMillis) {
+        listeners.forEach(each -> each.onNearWaitEnded(job, end, waitedMillis));
+    }
+
     @Override
     public void onServerStateChanged(ServerId server, String state, String reason) {
         listeners.forEach(each -> each.onServerStateChanged(server, state, reason));
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostMetrics.java
@@ -11,6 +11,7 @@
 import java.io.StringWriter;
 import java.util.function.LongSupplier;
 import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolListener;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -73,6 +74,17 @@
         registry.counter("pool.run_ends." + kind.name()).inc();
     }
 
+    @Override
+    public void onNearWaitBegun(CallerJobId job, int tasks, long untilMillis) {
+        registry.counter("pool.near_waits").inc(tasks);
+    }
+
+    @Override
+    public void onNearWaitEnded(CallerJobId job, NearWaitEnd end, long waitedMillis) {
+        registry.counter("pool.near_wait_ends." + end.name()).inc();
+        registry.counter("pool.near_wait_millis").inc(waitedMillis);
+    }
+
     @Override
     public void onServerStateChanged(ServerId server, String state, String reason) {
         registry.counter("pool.servers." + state).inc();
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolEventLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/PoolEventLog.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.host;
 
 import org.banyanspoke.api.ids.ServerId;
+import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
 import org.banyanspoke.core.pool.PoolListener;
 import org.banyanspoke.core.pool.PoolLoad;
@@ -66,6 +67,17 @@
                 .write();
     }
 
+    @Override
+    public void onNearWaitEnded(CallerJobId job, NearWaitEnd end, long waitedMillis) {
+        if (end != NearWaitEnd.FAR || !log.tryAcquire(RequestLog.Kind.NEAR_WAIT)) {
+            return;
+        }
+        log.line(RequestLog.Kind.NEAR_WAIT, "task started far from its data after a wait")
+                .with("job", job)
+                .with("waitedMillis", waitedMillis)
+                .write();
+    }
+
     @Override
     public void onServerStateChanged(ServerId server, String state, String reason) {
         if (log.tryAcquire(RequestLog.Kind.SERVER)) {
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
@@ -24,6 +24,8 @@
         NOT_DONE(40),
         /** A run ended without success. */
         RUN_LOST(40),
+        /** A task waited for a server near its data and started elsewhere. */
+        NEAR_WAIT(20),
         /** The state of a backend server in the pool changed. */
         SERVER(60);
 
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/HostMetricsTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/HostMetricsTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
+import org.banyanspoke.core.pool.PoolListener;
+import org.banyanspoke.core.pool.PoolListener.NearWaitEnd;
 import org.banyanspoke.core.pool.PoolLoad;
 import org.banyanspoke.core.pool.PooledJob;
 import org.banyanspoke.core.pool.QueuePolicy;
@@ -33,4 +36,19 @@
                 .contains("pool_waiting_millis_2")
                 .contains("peers_heard 7.0");
     }
+
+    /** Guards against waits that the composite listener does not pass on. */
+    @Test
+    void exportsWaitsForNearServers() {
+        HostMetrics metrics = new HostMetrics();
+        PoolListener listener = new CompositePoolListener(List.of(metrics));
+        listener.onNearWaitBegun(JOB.id(), 2, 1_000);
+        listener.onNearWaitEnded(JOB.id(), NearWaitEnd.NEAR, 30);
+        listener.onNearWaitEnded(JOB.id(), NearWaitEnd.FAR, 40);
+        assertThat(metrics.text())
+                .contains("pool_near_waits 2.0")
+                .contains("pool_near_wait_ends_NEAR 1.0")
+                .contains("pool_near_wait_ends_FAR 1.0")
+                .contains("pool_near_wait_millis 70.0");
+    }
 }
