Runs are stopped for lack of progress, not for their duration

Cause: a run was stopped after 3 times its estimate and 150 ms with a progress below 60%. Run times have a long tail and estimates are rough, so runs that made progress were stopped and began anew. A run that hung after 60% of its work was never stopped.

Change: StalledRuns stops a run whose progress is the same in at least two reports after an increase, for more than 400 ms and a tenth of its expected run time. Reports that follow each other closely count once. A run that makes progress is moved only from a server that its completed runs have shown to be slow, if another server with room is expected to end it much earlier; the task does not return there.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -30,12 +30,6 @@
 public final class DefaultServerPool implements ServerPool {
     /** Delay before a server fenced by another owner is claimed again, if it is still assigned to this process. */
     private static final long RECLAIM_MILLIS = 400;
-    /** Multiple of its expected run time after which a run may count as stalled. */
-    private static final double STALL_TIME_FACTOR = 3;
-    /** Margin added to that time. */
-    private static final long STALL_MARGIN_MILLIS = 150;
-    /** Runs with at least this progress never count as stalled. */
-    private static final int STALL_PROGRESS_PERCENT = 60;
     /** Minimum retry delay returned with a refusal. */
     private static final long MIN_RETRY_AFTER_MILLIS = 200;
     /** Retry delay returned while starts are suspended; by then the entry hosts send jobs to other dispatchers. */
@@ -330,23 +324,38 @@
         }
     }
 
-    /** Judges progress by the time of its last report: a server that is late to report is not a stalled one. */
     private void stopStalledRuns(long nowMillis) {
         for (OwnedServer server : servers.values()) {
             for (Run run : server.runs()) {
-                long elapsedMillis = run.lastReportMillis - run.startSentMillis;
-                if (!run.isStopping()
-                        && run.percentDone < STALL_PROGRESS_PERCENT
-                        && elapsedMillis > STALL_TIME_FACTOR * run.expectedMillis + STALL_MARGIN_MILLIS) {
+                if (run.isStopping()) {
+                    continue;
+                }
+                if (StalledRuns.isStalled(run)) {
+                    stopStalledRun(server, run, nowMillis);
+                } else if (endsMuchEarlierElsewhere(server, run, nowMillis)) {
+                    run.job.excludeServer(run.key, server.descriptor().id());
                     server.stop(run);
-                    if (server.circuitBreaker().recordFailure(nowMillis)) {
-                        listener.onServerStateChanged(server.descriptor().id(), "paused", "task stalled");
-                    }
                 }
             }
         }
     }
 
+    private void stopStalledRun(OwnedServer server, Run run, long nowMillis) {
+        server.stop(run);
+        if (server.circuitBreaker().recordFailure(nowMillis)) {
+            listener.onServerStateChanged(server.descriptor().id(), "paused", "task stalled");
+        }
+    }
+
+    private boolean endsMuchEarlierElsewhere(OwnedServer server, Run run, long nowMillis) {
+        double serverFactor = runTimes.serverFactor(server.descriptor().id());
+        if (!StalledRuns.isOnSlowServer(run, serverFactor)) {
+            return false;
+        }
+        double newRunMillis = selector.shortestMillisElsewhere(run.job, server, servers.values(), nowMillis);
+        return StalledRuns.isWorthRestarting(run.expectedEndMillis(nowMillis) - nowMillis, newRunMillis);
+    }
+
     /**
      * Assigns free capacity to pending tasks. A reentrant call causes another pass after the current one. With a full
      * pool, a pass only checks each server once, regardless of the number of queued jobs.
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -31,7 +31,7 @@
     private final Deque<Integer> pending = new ArrayDeque<>();
     private final Map<Integer, Integer> runNumbers = new HashMap<>();
     private final Map<Integer, Integer> failures = new HashMap<>();
-    private final Map<Integer, Set<ServerId>> failedServers = new HashMap<>();
+    private final Map<Integer, Set<ServerId>> excludedServers = new HashMap<>();
     private final Map<RunKey, OwnedServer> runs = new HashMap<>();
     private long expectedWaitMillis = NO_SERVER;
     private int tasksDone;
@@ -159,9 +159,9 @@
         return count;
     }
 
-    /** Returns whether the next task has already failed on a server. */
-    boolean nextTaskFailedOn(ServerId server) {
-        return failedServers.getOrDefault(pending.peek(), Set.of()).contains(server);
+    /** Returns whether the next task has failed on a server or was moved away from it. */
+    boolean isNextTaskExcludedFrom(ServerId server) {
+        return excludedServers.getOrDefault(pending.peek(), Set.of()).contains(server);
     }
 
     /** Removes the next pending task, assigns it to a server and returns the key of the new run. */
@@ -184,10 +184,17 @@
         return tasksDone == job.tasks();
     }
 
+    /** Excludes a server from further runs of a task. */
+    void excludeServer(RunKey run, ServerId server) {
+        excludedServers
+                .computeIfAbsent(run.task().index(), key -> new HashSet<>())
+                .add(server);
+    }
+
     /** Records a failed run. Returns the number of failures of the task. */
     int recordTaskFailure(RunKey run, ServerId server) {
         int index = run.task().index();
-        failedServers.computeIfAbsent(index, key -> new HashSet<>()).add(server);
+        excludeServer(run, server);
         return failures.merge(index, 1, Integer::sum);
     }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/NearRoom.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/NearRoom.java
@@ -81,7 +81,7 @@
             JobProgress job, ServerRoom room, int plannedOnServer, ToDoubleFunction<ServerDescriptor> runMillis) {
         TaskRequirements task = job.requirements();
         ServerDescriptor descriptor = room.server().descriptor();
-        if (!descriptor.canRun(task) || job.nextTaskFailedOn(descriptor.id())) {
+        if (!descriptor.canRun(task) || job.isNextTaskExcludedFrom(descriptor.id())) {
             return null;
         }
         if (task.maxPerServer() > 0 && job.runsOn(room.server()) + plannedOnServer >= task.maxPerServer()) {
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -433,8 +433,7 @@
             }
             return;
         }
-        run.percentDone = progress.percent();
-        run.lastReportMillis = clock.millis();
+        run.recordReport(progress.percent(), clock.millis());
         if (run.state == Run.State.STARTING) {
             run.state = Run.State.RUNNING;
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/Run.java
@@ -19,6 +19,9 @@
     /** Progress in whole percent is too coarse below this to extrapolate the run time. */
     private static final int MIN_MEANINGFUL_PERCENT = 10;
 
+    /** A report comes whenever a run of the server ends, so reports may follow each other closely. */
+    private static final long MIN_REPORT_INTERVAL_MILLIS = 100;
+
     final RunKey key;
     final JobProgress job;
     final int cpuMillicores;
@@ -31,10 +34,17 @@
     /** Number of the first renewal that is sent after the last confirmed command. */
     long firstConclusiveRenewal = Long.MAX_VALUE;
 
-    int percentDone;
     /** Time at which the server last reported this run as active; initially the time of the start command. */
     long lastReportMillis;
 
+    private int percentDone;
+    /** Time of the first report of the present progress; initially the time of the start command. */
+    private long lastIncreaseMillis;
+    /** Reports of the present progress after the first one, without those that follow another one closely. */
+    private int unchangedReports;
+
+    private long lastCountedReportMillis;
+
     Run(RunKey key, JobProgress job, long startSentMillis, long expectedMillis) {
         this.key = key;
         this.job = job;
@@ -45,6 +55,35 @@
         this.expectedMillis = expectedMillis;
         this.lastCommandMillis = startSentMillis;
         this.lastReportMillis = startSentMillis;
+        this.lastIncreaseMillis = startSentMillis;
+        this.lastCountedReportMillis = startSentMillis;
+    }
+
+    /** Records that the server has reported this run as active. */
+    void recordReport(int percent, long nowMillis) {
+        lastReportMillis = nowMillis;
+        if (percent > percentDone) {
+            percentDone = percent;
+            lastIncreaseMillis = nowMillis;
+            lastCountedReportMillis = nowMillis;
+            unchangedReports = 0;
+        } else if (nowMillis - lastCountedReportMillis >= MIN_REPORT_INTERVAL_MILLIS) {
+            lastCountedReportMillis = nowMillis;
+            unchangedReports++;
+        }
+    }
+
+    long lastIncreaseMillis() {
+        return lastIncreaseMillis;
+    }
+
+    int unchangedReports() {
+        return unchangedReports;
+    }
+
+    /** Returns whether the run time can be extrapolated from the progress. */
+    boolean hasMeaningfulProgress() {
+        return percentDone >= MIN_MEANINGFUL_PERCENT;
     }
 
     /** Returns when the run is expected to end, or {@link RoomTimeline#NEVER} if that is not known. */
@@ -53,9 +92,7 @@
             return RoomTimeline.NEVER;
         }
         long endMillis = startSentMillis
-                + (percentDone < MIN_MEANINGFUL_PERCENT
-                        ? expectedMillis
-                        : 100 * (lastReportMillis - startSentMillis) / percentDone);
+                + (hasMeaningfulProgress() ? 100 * (lastReportMillis - startSentMillis) / percentDone : expectedMillis);
         // A run that is overdue is expected to take as much longer as it is overdue.
         return endMillis + 2 * Math.max(0, nowMillis - endMillis);
     }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
@@ -104,6 +104,18 @@
         return bestInTime || !canBeInTime(job, candidates, nowMillis) ? best : null;
     }
 
+    /** Returns the shortest expected run time of a task on another server with room, or infinity if there is none. */
+    double shortestMillisElsewhere(
+            JobProgress job, OwnedServer present, Collection<OwnedServer> servers, long nowMillis) {
+        double shortestMillis = Double.POSITIVE_INFINITY;
+        for (OwnedServer server : servers) {
+            if (server != present && server.isUsable() && accepts(server, job, nowMillis)) {
+                shortestMillis = Math.min(shortestMillis, expectedMillis(job, server.descriptor()));
+            }
+        }
+        return shortestMillis;
+    }
+
     /** Near servers are left out here if the rack matters, as the wait for them is bounded. */
     private boolean canBeInTime(JobProgress job, Candidates candidates, long nowMillis) {
         Double factor = candidates.fastestFactors().get(job.job().queuePolicy().service());
@@ -140,13 +152,18 @@
     }
 
     private static boolean isEligible(JobProgress job, OwnedServer server, long nowMillis) {
+        return accepts(server, job, nowMillis)
+                && !job.isNextTaskExcludedFrom(server.descriptor().id());
+    }
+
+    /** Returns whether a server has room for a task of a job, has its label and may get another task. */
+    private static boolean accepts(OwnedServer server, JobProgress job, long nowMillis) {
         TaskRequirements requirements = job.requirements();
         ServerDescriptor descriptor = server.descriptor();
         return descriptor.service().equals(job.job().queuePolicy().service())
                 && server.fits(requirements)
                 && server.circuitBreaker().allows(nowMillis, server.runCount())
                 && descriptor.hasLabel(requirements.label())
-                && (requirements.maxPerServer() == 0 || job.runsOn(server) < requirements.maxPerServer())
-                && !job.nextTaskFailedOn(descriptor.id());
+                && (requirements.maxPerServer() == 0 || job.runsOn(server) < requirements.maxPerServer());
     }
 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -29,7 +29,7 @@
         NONE,
         /** The task fails 5 ms after its start. */
         FAILS,
-        /** The task never makes progress. */
+        /** The task makes progress up to {@link Server#hangsAtPercent} and never ends. */
         HANGS,
         /** The command is executed, but its reply is lost. */
         ANSWER_LOST,
@@ -70,6 +70,9 @@
         ServerDescriptor descriptor;
         double slowdown = 1;
         StartFault fault = StartFault.NONE;
+        /** Progress of a task that hangs. */
+        int hangsAtPercent;
+
         boolean reachable = true;
         /** Whether the replies to renewals are lost. */
         boolean renewalRepliesLost;
@@ -137,9 +140,8 @@
 
         private int percent(RunKey run, Task task) {
             double totalMillis = totalMillis(run);
-            return fault == StartFault.HANGS
-                    ? 0
-                    : (int) Math.min(99, 100 * (nowMillis - task.startedMillis) / totalMillis);
+            int maxPercent = fault == StartFault.HANGS ? hangsAtPercent : 99;
+            return (int) Math.min(maxPercent, 100 * (nowMillis - task.startedMillis) / totalMillis);
         }
 
         private List<RunProgress> runningTasks() {
