The last attempt of a task does not go to a suspect server

Cause: jobs failed because the last attempt of a task went to a server that fails tasks while it reports good health. A single success reset its failures, and nothing but a pause kept tasks away.

Change: LastAttempt leaves out servers that have failed since their last success, whose pause has just ended, whose failed task has completed elsewhere fewer than 5 successes ago, or that have had no success since they were claimed while others have. It applies while another server has room or is expected to have it before the job expires. A task that never completes elsewhere blames no server.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -483,11 +483,21 @@
         private void onDone(OwnedServer server, Run run, JobProgress progress, long runMillis) {
             server.circuitBreaker().recordSuccess();
             runTimes.record(server.descriptor(), progress.requirements().estimateMillis(), runMillis);
+            if (progress.hasFailedBefore(run.key)) {
+                progress.excludedServers(run.key).forEach(this::blame);
+            }
             if (progress.recordTaskDone(run.key) && !progress.isEnded()) {
                 end(progress, JobOutcome.completed());
             }
         }
 
+        private void blame(ServerId id) {
+            OwnedServer server = servers.get(id);
+            if (server != null) {
+                server.circuitBreaker().recordBlame();
+            }
+        }
+
         private void onFailed(OwnedServer server, Run run, JobProgress progress) {
             long nowMillis = clock.millis();
             // A task that has failed before may itself be faulty, so its failure is not counted against the server.
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -164,6 +164,12 @@
         return excludedServers.getOrDefault(pending.peek(), Set.of()).contains(server);
     }
 
+    /** Returns whether the job fails if the next run of the next task does. */
+    boolean isLastAttemptNext() {
+        int earlierFailures = failures.getOrDefault(pending.peek(), 0);
+        return earlierFailures > 0 && earlierFailures + 1 >= job.queuePolicy().maxAttempts();
+    }
+
     /** Removes the next pending task, assigns it to a server and returns the key of the new run. */
     RunKey startNextTask(OwnedServer server, long nowMillis) {
         int index = pending.remove();
@@ -198,6 +204,11 @@
         return failures.merge(index, 1, Integer::sum);
     }
 
+    /** Returns the servers on which earlier runs of the same task failed or from which they were moved away. */
+    Set<ServerId> excludedServers(RunKey run) {
+        return excludedServers.getOrDefault(run.task().index(), Set.of());
+    }
+
     /** Returns whether an earlier run of the same task has failed. */
     boolean hasFailedBefore(RunKey run) {
         return failures.containsKey(run.task().index());
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -170,6 +170,7 @@
     void claim(long newToken) {
         token = newToken;
         state = State.CLAIMING;
+        circuitBreaker.recordClaim();
         // The previous owner may have extended the lease until now.
         lease.recordDeadlineSent();
         nextRenewalMillis = clock.millis();
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
@@ -11,10 +11,15 @@
     private static final long INITIAL_PAUSE_MILLIS = 1_000;
     private static final long MAX_PAUSE_MILLIS = 8_000;
 
+    /** Successes in a row after which a server that fails half of its tasks is most likely not trusted by mistake. */
+    private static final int SUCCESSES_TO_TRUST = 5;
+
     private int consecutiveFailures;
+    private int successesUntilTrusted;
     private long pauseMillis = INITIAL_PAUSE_MILLIS;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private boolean halfOpen;
+    private boolean succeeded;
 
     /** Returns whether the server may get another task while it has the given number of runs. */
     boolean allows(long nowMillis, int runs) {
@@ -29,7 +34,29 @@
         return !halfOpen;
     }
 
+    /** Returns whether a task has completed there since the server was claimed. */
+    boolean hasSucceeded() {
+        return succeeded;
+    }
+
+    /** Returns whether too few tasks have completed there since it failed a task. */
+    boolean hasUnresolvedFailure() {
+        return halfOpen || consecutiveFailures > 0 || successesUntilTrusted > 0;
+    }
+
+    /** Records that a task which this server failed has completed elsewhere, so that the task is not at fault. */
+    void recordBlame() {
+        successesUntilTrusted = SUCCESSES_TO_TRUST;
+    }
+
+    /** Records that the server has been claimed; it may have restarted. */
+    void recordClaim() {
+        succeeded = false;
+    }
+
     void recordSuccess() {
+        succeeded = true;
+        successesUntilTrusted = Math.max(0, successesUntilTrusted - 1);
         consecutiveFailures = 0;
         halfOpen = false;
         pauseMillis = INITIAL_PAUSE_MILLIS;
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerSelector.java
@@ -43,18 +43,23 @@
                 }
             }
         }
-        return new Candidates(available, fastestFactors, nearPlacement.new Pass(servers, runTimes::factor));
+        return new Candidates(servers, available, fastestFactors, nearPlacement.new Pass(servers, runTimes::factor));
     }
 
     /**
      * Candidate servers of one pass. Their free capacity may decrease during the pass but never increases.
      *
+     * @param all all servers of the pool
      * @param available usable servers with enough free processor capacity for the smallest pending task
      * @param fastestFactors ratio of run time to estimate on the fastest usable server of each service, busy ones
      *     included
      * @param near decisions on tasks that name the rack of their data
      */
-    record Candidates(List<OwnedServer> available, Map<String, Double> fastestFactors, NearPlacement.Pass near) {
+    record Candidates(
+            Collection<OwnedServer> all,
+            List<OwnedServer> available,
+            Map<String, Double> fastestFactors,
+            NearPlacement.Pass near) {
         /** Returns the largest free processor capacity of any server, in thousandths of a core. */
         int maxFreeCpu() {
             int max = 0;
@@ -67,13 +72,32 @@
 
     /** Returns the selected server, or null if none is eligible or the task should wait for a busy one. */
     OwnedServer select(JobProgress job, Candidates candidates, long nowMillis) {
+        return job.isLastAttemptNext()
+                ? selectForLastAttempt(job, candidates, nowMillis)
+                : selectFrom(candidates.available(), job, candidates, nowMillis);
+    }
+
+    private OwnedServer selectForLastAttempt(JobProgress job, Candidates candidates, long nowMillis) {
+        LastAttempt lastAttempt = new LastAttempt(candidates.all(), server -> expectedMillis(job, server));
+        List<OwnedServer> trusted = lastAttempt.trusted();
+        List<OwnedServer> available = new ArrayList<>(candidates.available());
+        available.retainAll(trusted);
+        OwnedServer server = selectFrom(available, job, candidates, nowMillis);
+        if (server != null || lastAttempt.waits(job, trusted, nowMillis)) {
+            return server;
+        }
+        return selectFrom(candidates.available(), job, candidates, nowMillis);
+    }
+
+    private OwnedServer selectFrom(
+            List<OwnedServer> available, JobProgress job, Candidates candidates, long nowMillis) {
         boolean rackMatters = nearPlacement.concerns(job);
         OwnedServer best = null;
         double bestMillis = 0;
         boolean bestInTime = false;
         boolean bestNear = false;
         double fastestMillis = Double.MAX_VALUE;
-        for (OwnedServer server : candidates.available()) {
+        for (OwnedServer server : available) {
             if (!isEligible(job, server, nowMillis)) {
                 continue;
             }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToLongFunction;
 import org.banyanspoke.api.ids.ServerId;
@@ -70,6 +71,8 @@
         ServerDescriptor descriptor;
         double slowdown = 1;
         StartFault fault = StartFault.NONE;
+        /** Runs that fail 5 ms after their start. */
+        Predicate<RunKey> failingRuns = run -> false;
         /** Progress of a task that hangs. */
         int hangsAtPercent;
 
@@ -281,7 +284,9 @@
         }
         server.extend(command.deadlineMillis());
         if (server.fault != StartFault.HANGS) {
-            EndKind kind = server.fault == StartFault.FAILS ? EndKind.FAILED : EndKind.DONE;
+            EndKind kind = server.fault == StartFault.FAILS || server.failingRuns.test(command.run())
+                    ? EndKind.FAILED
+                    : EndKind.DONE;
             long millis = kind == EndKind.FAILED ? 5 : (long) server.totalMillis(command.run());
             after(millis, () -> {
                 if (server.running.get(command.run()) == task) {
