--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -29,12 +29,6 @@
 public final class DefaultServerPool implements ServerPool {
     /** Delay before a server fenced by another owner is claimed again, if it is still assigned to this process. */
     private static final long RECLAIM_MILLIS = 400;
-    /** Multiple of its expected run time after which a run may count as stalled. */
-    private static final double STALL_TIME_FACTOR = 3;
-    /** Margin added to that time. */
-    private static final long STALL_MARGIN_MILLIS = 150;
-    /** Runs with at least this progress never count as stalled. */
-    private static final int STALL_PROGRESS_PERCENT = 60;
     /** Minimum retry delay returned with a refusal. */
     private static final long MIN_RETRY_AFTER_MILLIS = 200;
     /** Retry delay returned while starts are suspended; by then the entry hosts send jobs to other dispatchers. */
@@ -53,6 +47,7 @@
     private final Map<CallerJobId, JobProgress> jobs = new LinkedHashMap<>();
     private final JobQueue queue = new JobQueue();
     private final RunTimeModel runTimes = new RunTimeModel();
+    private final NearPlacement nearPlacement;
     private final ServerSelector selector;
     private final OwnedServer.Listener serverListener = new ServerListener();
     private StartPermission startPermission = StartPermission.ALL_JOBS;
@@ -76,7 +71,8 @@
         this.inputClock = inputClock;
         this.contact = contact;
         this.listener = listener;
-        this.selector = new ServerSelector(runTimes, settings.remoteRackFactor());
+        this.nearPlacement = new NearPlacement(settings.remoteRackFactor(), listener);
+        this.selector = new ServerSelector(runTimes, nearPlacement);
     }
 
     @Override
@@ -216,6 +212,7 @@
         long waitedMillis = (progress.started() ? progress.firstStartMillis() : nowMillis) - progress.arrivalMillis();
         queue.remove(progress);
         progress.end(outcome);
+        nearPlacement.onJobEnded(progress, nowMillis);
         listener.onJobEnded(
                 progress.job(),
                 outcome,
@@ -289,23 +286,38 @@
         }
     }
 
-    /** Judges progress by the time of its last report: a server that is late to report is not a stalled one. */
     private void stopStalledRuns(long nowMillis) {
         for (OwnedServer server : servers.values()) {
             for (Run run : server.runs()) {
-                long elapsedMillis = run.lastReportMillis - run.startSentMillis;
-                if (!run.isStopping()
-                        && run.percentDone < STALL_PROGRESS_PERCENT
-                        && elapsedMillis > STALL_TIME_FACTOR * run.expectedMillis + STALL_MARGIN_MILLIS) {
+                if (run.isStopping()) {
+                    continue;
+                }
+                if (StalledRuns.isStalled(run)) {
+                    stopStalledRun(server, run, nowMillis);
+                } else if (endsMuchEarlierElsewhere(server, run, nowMillis)) {
+                    run.job.excludeServer(run.key, server.descriptor().id());
                     server.stop(run);
-                    if (server.circuitBreaker().recordFailure(nowMillis)) {
-                        listener.onServerStateChanged(server.descriptor().id(), "paused", "task stalled");
-                    }
                 }
             }
         }
     }
 
+    private void stopStalledRun(OwnedServer server, Run run, long nowMillis) {
+        server.stop(run);
+        if (server.circuitBreaker().recordFailure(nowMillis)) {
+            listener.onServerStateChanged(server.descriptor().id(), "paused", "task stalled");
+        }
+    }
+
+    private boolean endsMuchEarlierElsewhere(OwnedServer server, Run run, long nowMillis) {
+        double serverFactor = runTimes.serverFactor(server.descriptor().id());
+        if (!StalledRuns.isOnSlowServer(run, serverFactor)) {
+            return false;
+        }
+        double newRunMillis = selector.shortestMillisElsewhere(run.job, server, servers.values(), nowMillis);
+        return StalledRuns.isWorthRestarting(run.expectedEndMillis(nowMillis) - nowMillis, newRunMillis);
+    }
+
     /**
      * Assigns free capacity to pending tasks. A reentrant call causes another pass after the current one. With a full
      * pool, a pass only checks each server once, regardless of the number of queued jobs.
@@ -339,9 +351,9 @@
     private void startPendingTasks(ServerSelector.Candidates candidates, long nowMillis) {
         int maxFreeCpu = candidates.maxFreeCpu();
         for (JobProgress progress : queue.ordered(nowMillis)) {
-            if (progress.requirements().cpuMillicores() <= maxFreeCpu
-                    && hasContact(progress)
-                    && startTasks(progress, candidates, nowMillis)) {
+            if (progress.requirements().cpuMillicores() > maxFreeCpu) {
+                candidates.near().skip(progress);
+            } else if (hasContact(progress) && startTasks(progress, candidates, nowMillis)) {
                 maxFreeCpu = candidates.maxFreeCpu();
             }
         }
@@ -362,7 +374,8 @@
             }
             startedAny = true;
             RunKey key = progress.startNextTask(server, nowMillis);
-            long expectedMillis = (long) selector.expectedMillis(progress.requirements(), server.descriptor());
+            nearPlacement.onStarted(progress, server.descriptor(), nowMillis);
+            long expectedMillis = (long) selector.expectedMillis(progress, server.descriptor());
             listener.onRunStarted(key, server.descriptor().id(), expectedMillis);
             server.start(
                     new Run(key, progress, nowMillis, expectedMillis),
@@ -409,11 +422,21 @@
         private void onDone(OwnedServer server, Run run, JobProgress progress, long runMillis) {
             server.circuitBreaker().recordSuccess();
             runTimes.record(server.descriptor(), progress.requirements().estimateMillis(), runMillis);
+            if (progress.hasFailedBefore(run.key)) {
+                progress.excludedServers(run.key).forEach(this::blame);
+            }
             if (progress.recordTaskDone(run.key) && !progress.isEnded()) {
                 end(progress, JobOutcome.completed());
             }
         }
 
+        private void blame(ServerId id) {
+            OwnedServer server = servers.get(id);
+            if (server != null) {
+                server.circuitBreaker().recordBlame();
+            }
+        }
+
         private void onFailed(OwnedServer server, Run run, JobProgress progress) {
             long nowMillis = clock.millis();
             // A task that has failed before may itself be faulty, so its failure is not counted against the server.
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/JobProgress.java
@@ -31,13 +31,14 @@
     private final Deque<Integer> pending = new ArrayDeque<>();
     private final Map<Integer, Integer> runNumbers = new HashMap<>();
     private final Map<Integer, Integer> failures = new HashMap<>();
-    private final Map<Integer, Set<ServerId>> failedServers = new HashMap<>();
+    private final Map<Integer, Set<ServerId>> excludedServers = new HashMap<>();
     private final Map<RunKey, OwnedServer> runs = new HashMap<>();
     private long expectedWaitMillis = NO_SERVER;
     private int tasksDone;
     private boolean started;
     private long firstStartMillis;
     private JobOutcome outcome;
+    private NearWait nearWait;
 
     /**
      * @param job the job
@@ -110,6 +111,20 @@
         return pending.size();
     }
 
+    /** Returns the number of pending tasks that start as soon as any server has room, which delays other tasks. */
+    int competingTasks(long nowMillis) {
+        return nearWait == null ? pending.size() : Math.max(0, pending.size() - nearWait.heldTasks(nowMillis));
+    }
+
+    /** Returns the wait for servers near the data of this job, or null if there has been none. */
+    NearWait nearWait() {
+        return nearWait;
+    }
+
+    void setNearWait(NearWait wait) {
+        nearWait = wait;
+    }
+
     boolean started() {
         return started;
     }
@@ -144,9 +159,15 @@
         return count;
     }
 
-    /** Returns whether the next task has already failed on a server. */
-    boolean nextTaskFailedOn(ServerId server) {
-        return failedServers.getOrDefault(pending.peek(), Set.of()).contains(server);
+    /** Returns whether the next task has failed on a server or was moved away from it. */
+    boolean isNextTaskExcludedFrom(ServerId server) {
+        return excludedServers.getOrDefault(pending.peek(), Set.of()).contains(server);
+    }
+
+    /** Returns whether the job fails if the next run of the next task does. */
+    boolean isLastAttemptNext() {
+        int earlierFailures = failures.getOrDefault(pending.peek(), 0);
+        return earlierFailures > 0 && earlierFailures + 1 >= job.queuePolicy().maxAttempts();
     }
 
     /** Removes the next pending task, assigns it to a server and returns the key of the new run. */
@@ -169,13 +190,25 @@
         return tasksDone == job.tasks();
     }
 
+    /** Excludes a server from further runs of a task. */
+    void excludeServer(RunKey run, ServerId server) {
+        excludedServers
+                .computeIfAbsent(run.task().index(), key -> new HashSet<>())
+                .add(server);
+    }
+
     /** Records a failed run. Returns the number of failures of the task. */
     int recordTaskFailure(RunKey run, ServerId server) {
         int index = run.task().index();
-        failedServers.computeIfAbsent(index, key -> new HashSet<>()).add(server);
+        excludeServer(run, server);
         return failures.merge(index, 1, Integer::sum);
     }
 
+    /** Returns the servers on which earlier runs of the same task failed or from which they were moved away. */
+    Set<ServerId> excludedServers(RunKey run) {
+        return excludedServers.getOrDefault(run.task().index(), Set.of());
+    }
+
     /** Returns whether an earlier run of the same task has failed. */
     boolean hasFailedBefore(RunKey run) {
         return failures.containsKey(run.task().index());
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/LoadReport.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/LoadReport.java
@@ -39,7 +39,7 @@
 
     private void addQueued(JobProgress job, FreeRoom free, long nowMillis) {
         int size = job.requirements().cpuMillicores();
-        long millicores = (long) job.pendingTasks() * size;
+        long millicores = (long) job.competingTasks(nowMillis) * size;
         queuedWork += (double) millicores * job.requirements().estimateMillis();
         queuedMillicores += millicores;
         unstartedJobs += job.started() ? 0 : 1;
@@ -48,7 +48,7 @@
         }
         if (JobQueue.precedes(job, Integer.MAX_VALUE, nowMillis)) {
             int priority = Math.max(0, Math.min(PRIORITIES - 1, job.priority()));
-            queuedByPriority[priority] += Math.round(WaitEstimator.poolShare(job, free) * room.capacityMillicores());
+            queuedByPriority[priority] += Math.round(WaitEstimator.poolShare(job, free, nowMillis) * room.capacityMillicores());
         }
     }
 
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -136,6 +136,16 @@
         return runningWork;
     }
 
+    /** Returns the expected free capacity over time. */
+    RoomTimeline timeline(long nowMillis) {
+        RoomTimeline timeline = new RoomTimeline(
+                nowMillis, freeCpu(), descriptor.memoryMegabytes() - usedMemory, descriptor.gpus() - usedGpus);
+        for (Run run : runs.values()) {
+            timeline.addRelease(run.expectedEndMillis(nowMillis), run.cpuMillicores, run.memoryMegabytes, run.gpus);
+        }
+        return timeline;
+    }
+
     boolean isUsable() {
         return state == State.USABLE
                 && hasCurrentDescriptor()
@@ -175,6 +185,7 @@
     void claim(long newToken) {
         token = newToken;
         state = State.CLAIMING;
+        circuitBreaker.recordClaim();
         // The previous owner may have extended the lease until now.
         lease.recordDeadlineSent();
         nextRenewalMillis = clock.millis();
@@ -440,8 +451,7 @@
             }
             return;
         }
-        run.percentDone = progress.percent();
-        run.lastReportMillis = clock.millis();
+        run.recordReport(progress.percent(), clock.millis());
         if (run.state == Run.State.STARTING) {
             run.state = Run.State.RUNNING;
         }
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/WaitEstimator.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/WaitEstimator.java
@@ -45,7 +45,7 @@
         double millisBefore = 0;
         for (JobProgress other : queue.all()) {
             if (JobQueue.precedes(other, job.priority(), nowMillis)) {
-                double share = poolShare(other, room);
+                double share = poolShare(other, room, nowMillis);
                 shareBefore += share;
                 millisBefore += share * other.requirements().estimateMillis();
             }
@@ -79,9 +79,12 @@
         return (Math.sqrt(linear * linear + 4 * quadratic * tasks) - linear) / (2 * quadratic);
     }
 
-    /** Returns the pending tasks of a job relative to the slots of their size; 0 if none of them can run here. */
-    static double poolShare(JobProgress job, FreeRoom room) {
+    /**
+     * Returns the pending tasks of a job relative to the slots of their size; 0 if none of them can run here. Tasks that
+     * wait for a server near their data delay no others and are left out.
+     */
+    static double poolShare(JobProgress job, FreeRoom room, long nowMillis) {
         long slots = room.totalSlots(job.requirements().cpuMillicores());
-        return slots == 0 ? 0 : (double) job.pendingTasks() / slots;
+        return slots == 0 ? 0 : (double) job.competingTasks(nowMillis) / slots;
     }
 }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 import org.banyanspoke.api.ids.ServerId;
@@ -29,7 +31,7 @@
         NONE,
         /** The task fails 5 ms after its start. */
         FAILS,
-        /** The task never makes progress. */
+        /** The task makes progress up to {@link Server#hangsAtPercent} and never ends. */
         HANGS,
         /** The command is executed, but its reply is lost. */
         ANSWER_LOST,
@@ -41,6 +43,8 @@
     final Map<ServerId, Server> servers = new LinkedHashMap<>();
     ToLongFunction<RunKey> runMillis = run -> 100;
     ToIntFunction<RunKey> cpuMillicores = run -> SimulatedJobs.CPU_MILLICORES;
+    /** Factor on the run time that depends on the server, in addition to its slowdown. */
+    ToDoubleBiFunction<RunKey, ServerDescriptor> placementFactor = (run, server) -> 1;
     /** Whether the next start command fails with an unchecked exception. */
     boolean failNextStart;
 
@@ -69,6 +73,11 @@
         ServerDescriptor descriptor;
         double slowdown = 1;
         StartFault fault = StartFault.NONE;
+        /** Runs that fail 5 ms after their start. */
+        Predicate<RunKey> failingRuns = run -> false;
+        /** Progress of a task that hangs. */
+        int hangsAtPercent;
+
         boolean reachable = true;
         /** Whether the replies to renewals are lost. */
         boolean renewalRepliesLost;
@@ -155,11 +164,14 @@
             startTimeMillis = nowMillis;
         }
 
+        private double totalMillis(RunKey run) {
+            return runMillis.applyAsLong(run) * slowdown * placementFactor.applyAsDouble(run, descriptor);
+        }
+
         private int percent(RunKey run, Task task) {
-            double totalMillis = runMillis.applyAsLong(run) * slowdown;
-            return fault == StartFault.HANGS
-                    ? 0
-                    : (int) Math.min(99, 100 * (nowMillis - task.startedMillis) / totalMillis);
+            double totalMillis = totalMillis(run);
+            int maxPercent = fault == StartFault.HANGS ? hangsAtPercent : 99;
+            return (int) Math.min(maxPercent, 100 * (nowMillis - task.startedMillis) / totalMillis);
         }
 
         private List<RunProgress> runningTasks() {
@@ -185,17 +197,13 @@
     }
 
     Server add(String id, String kind, int cpuMillicores) {
+        return add(id, List.of(kind), cpuMillicores);
+    }
+
+    /** Adds a server with labels, of which the first is its hardware kind. */
+    Server add(String id, List<String> labels, int cpuMillicores) {
         ServerDescriptor descriptor = new ServerDescriptor(
-                new ServerId(id),
-                SERVICE,
-                "10.0.0.1:1",
-                new ZoneId("a"),
-                List.of(kind),
-                cpuMillicores,
-                32_000,
-                0,
-                false,
-                1);
+                new ServerId(id), SERVICE, "10.0.0.1:1", new ZoneId("a"), labels, cpuMillicores, 32_000, 0, false, 1);
         Server server = new Server(descriptor);
         servers.put(descriptor.id(), server);
         return server;
@@ -303,8 +311,10 @@
         }
         server.extend(command.deadlineMillis());
         if (server.fault != StartFault.HANGS) {
-            EndKind kind = server.fault == StartFault.FAILS ? EndKind.FAILED : EndKind.DONE;
-            long millis = kind == EndKind.FAILED ? 5 : (long) (runMillis.applyAsLong(command.run()) * server.slowdown);
+            EndKind kind = server.fault == StartFault.FAILS || server.failingRuns.test(command.run())
+                    ? EndKind.FAILED
+                    : EndKind.DONE;
+            long millis = kind == EndKind.FAILED ? 5 : (long) server.totalMillis(command.run());
             after(millis, () -> {
                 if (server.running.get(command.run()) == task) {
                     server.end(command.run(), kind);
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/RequestLog.java
@@ -26,6 +26,8 @@
         CANCELLED(20),
         /** A run ended without success. */
         RUN_LOST(40),
+        /** A task waited for a server near its data and started elsewhere. */
+        NEAR_WAIT(20),
         /** The state of a backend server in the pool changed. */
         SERVER(60);
 
