--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/LoadReport.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/LoadReport.java
@@ -48,7 +48,8 @@
         }
         if (JobQueue.precedes(job, Integer.MAX_VALUE, nowMillis)) {
             int priority = Math.max(0, Math.min(PRIORITIES - 1, job.priority()));
-            queuedByPriority[priority] += Math.round(WaitEstimator.poolShare(job, free, nowMillis) * room.capacityMillicores());
+            queuedByPriority[priority] +=
+                    Math.round(WaitEstimator.poolShare(job, free, nowMillis) * room.capacityMillicores());
         }
     }
 
