Stand-in server reports the progress of its runs

It reported 50% for each run at all times, where the platform's protocol asks for the completed part of the work.

--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
@@ -53,7 +53,12 @@
     private int endCount;
 
     /** A running task. */
-    private record Run(String task, int number, long endMillis) {}
+    private record Run(String task, int number, long startMillis, long endMillis) {
+        /** Returns the completed part of the work; a run that is overdue is not complete. */
+        long percentDone(long nowMillis) {
+            return Math.min(99, 100 * (nowMillis - startMillis) / Math.max(1, endMillis - startMillis));
+        }
+    }
 
     /** A lease renewal that waits for the end of a task. */
     private record PendingRenewal(HttpServerRequest request, long untilMillis) {}
@@ -187,7 +192,8 @@
             return;
         }
         if (current == null || number > current.number()) {
-            begin(new Run(task, number, clockMillis() + Long.parseLong(command.getString("spec"))));
+            long nowMillis = clockMillis();
+            begin(new Run(task, number, nowMillis, nowMillis + Long.parseLong(command.getString("spec"))));
         }
         answer(request, 200, new JsonObject());
     }
@@ -223,7 +229,10 @@
 
     private void answerRenewal(PendingRenewal renewal) {
         JsonArray rows = new JsonArray();
-        running.values().forEach(run -> rows.add(new JsonArray(List.of(run.task(), run.number(), "", 50))));
+        long nowMillis = clockMillis();
+        running.values()
+                .forEach(run ->
+                        rows.add(new JsonArray(List.of(run.task(), run.number(), "", run.percentDone(nowMillis)))));
         answer(
                 renewal.request(),
                 200,
