--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/PlatformProcessesTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
@@ -144,6 +145,7 @@
     @Nested
     class WithoutFaults {
         @Test
+        @Tag("known-red")
         void completesJobsOfAllHosts() throws Exception {
             for (int i = 0; i < 40; i++) {
                 send(hosts.get(i % 2), 3, 60);
