--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerCircuitBreaker.java
@@ -11,7 +11,7 @@
     private static final long INITIAL_PAUSE_MILLIS = 1_000;
     private static final long MAX_PAUSE_MILLIS = 8_000;
 
-    /** Successes after which a server is trusted again; one that fails half of its tasks rarely has as many in a row. */
+    /** Successes after which a server is trusted again; one that fails half of its tasks rarely has as many. */
     private static final int SUCCESSES_TO_TRUST = 5;
 
     private int consecutiveFailures;
