--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -24,10 +24,18 @@
 
     /** Returns the body of a job of one step, whose tasks take {@code runMillis}. */
     static String job(int tasks, int cpu, long estimateMillis, long runMillis, String requirement) {
+        return job(tasks, cpu, estimateMillis, runMillis, requirement, "");
+    }
+
+    /** Returns the body of a job of one step, whose data are in a rack. */
+    static String job(int tasks, int cpu, long estimateMillis, long runMillis, String requirement, String rack) {
         Map<String, Object> step = Json.of("count", tasks, "cpu", cpu, "mem_mb", 64, "est_runtime_ms", estimateMillis);
         if (!requirement.isEmpty()) {
             step.put("requirements", requirement);
         }
+        if (!rack.isEmpty()) {
+            step.put("affinity", rack);
+        }
         return Json.write(
                 Json.of("spec", Long.toString(runMillis), "best_effort", true, "steps", java.util.List.of(step)));
     }
@@ -55,7 +63,8 @@
         try {
             socket.setSoTimeout(deadlineMillis);
             byte[] content = body.getBytes(StandardCharsets.UTF_8);
-            String head = method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Banyanspoke-Deadline-Ms: " + deadlineMillis
+            String head = method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                    + "X-Banyanspoke-Deadline-Ms: " + deadlineMillis
                     + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n";
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             out.write(head.getBytes(StandardCharsets.US_ASCII));
--- a/review/standins-2/HttpListener.java
+++ b/review/standins-2/HttpListener.java
@@ -86,8 +86,8 @@
                     }
                     return;
                 }
-                String head = "HTTP/1.1 " + response.status() + " -\r\nContent-Type: application/json\r\nContent-Length: "
-                        + response.body().length + "\r\n\r\n";
+                String head = "HTTP/1.1 " + response.status() + " -\r\n"
+                        + "Content-Type: application/json\r\nContent-Length: " + response.body().length + "\r\n\r\n";
                 ByteArrayOutputStream out = new ByteArrayOutputStream();
                 out.write(head.getBytes(StandardCharsets.US_ASCII));
                 out.write(response.body());
--- a/review/standins-2/Minion.java
+++ b/review/standins-2/Minion.java
@@ -149,7 +149,8 @@
         orders++;
         if (delay > 0) {
             lateOrders++;
-            record.line(id, "no answer to " + request.path() + " " + request.text() + ", to be carried out in " + delay + " s");
+            String when = ", to be carried out in " + delay + " s";
+            record.line(id, "no answer to " + request.path() + " " + request.text() + when);
             int receivedBoot = boot;
             HttpListener.daemon(() -> carryOutLate(delay, receivedBoot, request.path(), order));
             return null;
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -86,6 +86,7 @@
         record = new Record(recordFile);
         ledger = new Ledger(record);
         store = new Store(record);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killHosts));
     }
 
     private static String runLine() throws IOException {
@@ -187,7 +188,8 @@
                 [platform]
                 address = "%s"
                 form = "log"
-                """.formatted(name, zone, host.peerPort, host.peerPort, host.callerPort, host.readinessPort, storeAddress));
+                """.formatted(
+                        name, zone, host.peerPort, host.peerPort, host.callerPort, host.readinessPort, storeAddress));
         hosts.add(host);
         host.start();
         return host;
@@ -198,9 +200,7 @@
         long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(25);
         int steady = 0;
         while (steady < 5) {
-            boolean ready = hosts.stream().allMatch(host -> host.isReady() && host.metric("peers_heard") == hosts.size() - 1)
-                    && hosts.stream().mapToDouble(host -> host.metric("pool_capacity_millicores")).sum()
-                            == capacityMillicores;
+            boolean ready = hosts.stream().allMatch(this::hasHeardAllOthers) && capacity() == capacityMillicores;
             steady = ready ? steady + 1 : 0;
             if (System.nanoTime() > untilNanos) {
                 for (Host host : hosts) {
@@ -214,6 +214,19 @@
         record.line("stage", "ready");
     }
 
+    private boolean hasHeardAllOthers(Host host) {
+        return host.isReady() && host.metric("peers_heard") == hosts.size() - 1;
+    }
+
+    private double capacity() {
+        return hosts.stream().mapToDouble(host -> host.metric("pool_capacity_millicores")).sum();
+    }
+
+    /** Ends the hosts also if the script itself is ended. */
+    private void killHosts() {
+        hosts.stream().filter(host -> host.process != null).forEach(host -> host.process.destroyForcibly());
+    }
+
     /** Ends all processes and deletes their settings and output, unless the environment variable KEEP is set. */
     @Override
     public void close() throws IOException, InterruptedException {
