--- a/review/standins-2/Relay.java
+++ b/review/standins-2/Relay.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -54,7 +55,8 @@
     private void copy(Socket from, Socket to, Channel channel) {
         byte[] buffer = new byte[65_536];
         try {
-            for (int length = from.getInputStream().read(buffer); length >= 0; length = from.getInputStream().read(buffer)) {
+            InputStream in = from.getInputStream();
+            for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
                 if (!channel.silent) {
                     to.getOutputStream().write(buffer, 0, length);
                 }
--- a/review/standins-2/SilentStoreChannelsCase.java
+++ b/review/standins-2/SilentStoreChannelsCase.java
@@ -1,12 +1,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The open channels to the store go silent for good; new ones work. Half a second later the operator adds a route. Once
- * the machines are in touch again, they are asked for the new route.
+ * The open channels to the store go silent for good; new ones work. Half a second later the operator adds a route and
+ * drops another. Once the machines are in touch again, they get requests for both.
  */
 final class SilentStoreChannelsCase {
+    private static final AtomicLong NEXT_JOB = new AtomicLong(0xd0d0);
     private static final int CONTACT_MILLIS = 3_000;
     private static final int CONFIG_APPLY_MILLIS = 2_000;
     /** How long the script waits for its moment at most. */
@@ -23,8 +25,7 @@
     }
 
     private static void play(Stage stage, boolean trouble) throws Exception {
-        List<String> prefixes = new ArrayList<>(List.of("/q/"));
-        stage.putManifest(1, prefixes, 1_500);
+        stage.putManifest(1, List.of("/kept/", "/dropped/"), 1_500);
         List<Relay> relays = new ArrayList<>();
         for (String zone : List.of("a", "b", "c", "d")) {
             stage.addMinion("zone-" + zone, 1);
@@ -40,14 +41,13 @@
         }
         long silentNanos = System.nanoTime();
         Thread.sleep(500);
-        prefixes.add("/new/");
-        stage.putManifest(2, prefixes, 1_500);
+        stage.putManifest(2, List.of("/kept/", "/added/"), 1_500);
         long storedNanos = System.nanoTime();
         sleepUntil(Math.max(silentNanos + CONTACT_MILLIS * 1_000_000L, storedNanos + CONFIG_APPLY_MILLIS * 1_000_000L)
                 + MARGIN_NANOS);
         List<Thread> askers = new ArrayList<>();
         for (Stage.Host host : stage.hosts) {
-            askers.add(Cases.background(() -> ask(stage, host, "/new/", silentNanos, storedNanos)));
+            askers.add(Cases.background(() -> ask(stage, host, silentNanos, storedNanos)));
         }
         for (Thread asker : askers) {
             asker.join();
@@ -83,23 +83,29 @@
         Thread.sleep(Math.max(0, (nanos - System.nanoTime()) / 1_000_000));
     }
 
-    /** Asks a host for the number of pending jobs on the new route, until it knows the route. */
-    private static void ask(Stage stage, Stage.Host host, String prefix, long silentNanos, long storedNanos)
-            throws InterruptedException {
+    /** Sends requests for the added and for the dropped route to a host, until it has the new manifest. */
+    private static void ask(Stage stage, Stage.Host host, long silentNanos, long storedNanos) {
         for (int i = 0; i < 60; i++) {
-            long sentNanos = System.nanoTime();
-            Caller.Answer answer = Caller.get(host.callerPort, prefix);
-            String text = "GET " + prefix + " -> " + answer.status() + ", sent " + (sentNanos - storedNanos) / 1_000_000
-                    + " ms after the manifest was stored, " + (sentNanos - silentNanos) / 1_000_000
-                    + " ms after the channels went silent";
-            stage.record.line(host.name, text);
-            if (answer.status() == 404) {
-                stage.ledger.report("CONFIG: " + host.name + " " + text);
-            }
-            if (answer.status() == 200) {
+            String when = ", sent " + millisSince(storedNanos) + " ms after the manifest was stored, "
+                    + millisSince(silentNanos) + " ms after the channels went silent";
+            Caller.Answer added = Caller.get(host.callerPort, "/added/");
+            stage.record.line(host.name, "GET /added/ -> " + added.status() + when);
+            if (added.status() == 200) {
                 return;
             }
-            Thread.sleep(20);
+            if (added.status() == 404) {
+                stage.ledger.report("CONFIG: " + host.name + " refuses an added route with 404" + when);
+            }
+            String path = "/dropped/" + String.format("%016x", NEXT_JOB.incrementAndGet());
+            Caller.Answer dropped = Caller.post(host.callerPort, path, Caller.job(1, 500, 60, 40, ""), 1_500);
+            stage.record.line(host.name, "POST " + path + " -> " + dropped.status() + when);
+            if (dropped.status() == 200) {
+                stage.ledger.report("CONFIG: " + host.name + " has run a job with a dropped route" + when);
+            }
         }
     }
+
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000;
+    }
 }
