--- a/review/standins-2/IdleRestartCase.java
+++ b/review/standins-2/IdleRestartCase.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * A minion without tasks crashes and starts again under its id as one of another kind, which it reports at once. Shortly
- * after that a job comes that requires the earlier kind. Five minions do so, one after the other.
+ * A minion without tasks crashes and starts again under its id as one of another kind, which it reports at once.
+ * Shortly after that a job comes that requires the earlier kind. Five minions do so, one after the other.
  */
 final class IdleRestartCase {
     private static final int ROUNDS = 5;
