--- a/review/standins-2/DrainCancelCase.java
+++ b/review/standins-2/DrainCancelCase.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * A machine has been removed for good some time ago. Another one gets SIGTERM, and a client on an open channel cancels a
- * job that has already ended.
+ * A machine has been removed for good some time ago. Another one gets SIGTERM, and a client on an open channel cancels
+ * a job that has already ended.
  */
 final class DrainCancelCase {
     private static final int SENT_AFTER_SIGNAL_MILLIS = 2_050;
@@ -59,7 +59,8 @@
             stage.record.report("answer: " + answer.status() + " " + answer.end() + ", " + afterMillis
                     + " ms after the request");
             if (answer.status() == 0 && afterMillis > LOSS_SLACK_MILLIS && afterMillis < ACK_TIMEOUT_MILLIS) {
-                stage.ledger.report("LOST: the channel ended without an answer, " + afterMillis + " ms after the request");
+                stage.ledger.report(
+                        "LOST: the channel ended without an answer, " + afterMillis + " ms after the request");
             }
         }
     }
