--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -227,6 +227,7 @@
                         payload,
                         lease.deadlineMillis(lease.maxMillis(run)),
                         tokenUsed,
+                        startTimeMillis,
                         settings.commandTimeoutMillis()),
                 reply -> onStartReply(run, tokenUsed, reply));
     }
@@ -318,6 +319,11 @@
     private void onRefusedStart(Status status) {
         switch (status) {
             case NOT_SENT -> markSilent("not connected");
+            case RESTARTED -> {
+                markSilent("restarted");
+                // The reply tells the new start time.
+                renewIfDue(clock.millis());
+            }
             case UNHEALTHY, REJECTED, NO_ROOM -> {
                 if (circuitBreaker.recordFailure(clock.millis())) {
                     listener.stateChanged(this, "paused", "start refused: " + status);
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -311,6 +311,7 @@
             addServers(2);
             Server server = simulation.servers.values().iterator().next();
             simulation.runMillis = run -> 900;
+            simulation.restartsUnnoticed = true;
             server.restart();
             CallerJobId id = jobs.submit(SimulatedJobs.LONG, 4, 900);
             simulation.run(pool, REGISTRY_POLL_MILLIS);
@@ -515,6 +516,89 @@
         }
     }
 
+    /** Review case 9: such a server was used by the labels of its earlier start until the registry was read again. */
+    @Nested
+    class AnIdleServerThatRestarts {
+        private final List<Kind> outcomes = new ArrayList<>();
+        private final List<ServerId> startedOn = new ArrayList<>();
+        private final ServerPool observed = newPool(2, new PoolListener() {
+            @Override
+            public void onRunStarted(RunKey run, ServerId id, long expectedMillis) {
+                startedOn.add(id);
+            }
+        });
+        private Server server;
+
+        @BeforeEach
+        void addIdleServer() {
+            server = simulation.add("s0", "b", 16_000);
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 100);
+        }
+
+        private void submit(String label) {
+            observed.submit(
+                    new PooledJob(
+                            new CallerJobId("00000000000000a1"),
+                            new QueuePolicy("q", "service", 0, 3, 6, 2_000),
+                            "work",
+                            1,
+                            new TaskRequirements(1_000, 100, 0, 100, label, "", 0),
+                            0,
+                            8_000),
+                    outcome -> outcomes.add(outcome.kind()));
+        }
+
+        /** Guards against a task on a server without the label that it requires. */
+        @Test
+        void startsNothingByTheLabelsOfItsEarlierStart() {
+            server.restart("a");
+            submit("b");
+            simulation.run(observed, REGISTRY_POLL_MILLIS);
+            assertThat(simulation.starts()).isZero();
+            assertThat(server.running).isEmpty();
+        }
+
+        /** Guards against a restart that is found only by the next read of the registry. */
+        @Test
+        void isClaimedAsSoonAsAStartFindsTheRestart() {
+            long tokenBefore = server.token;
+            server.restart("a");
+            submit("b");
+            simulation.run(observed, 60);
+            assertThat(server.token).isGreaterThan(tokenBefore);
+        }
+
+        /** Guards against a task that is lost because its start was refused. */
+        @Test
+        void leavesTheTaskToAnotherServer() {
+            // More free room makes it the second choice.
+            Server other = simulation.add("s1", "b", 17_000);
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 100);
+            server.restart("a");
+            submit("b");
+            simulation.run(observed, REGISTRY_POLL_MILLIS);
+            assertThat(outcomes).containsExactly(Kind.COMPLETED);
+            assertThat(startedOn).containsExactly(server.descriptor.id(), other.descriptor.id());
+            assertThat(simulation.starts()).isEqualTo(1);
+        }
+
+        /** Guards against starts that are refused for ever after a restart. */
+        @Test
+        void runsTasksOfItsNewLabelsOnceItsDescriptorIsKnown() {
+            server.restart("a");
+            submit("b");
+            simulation.run(observed, REGISTRY_POLL_MILLIS);
+            observed.assign(simulation.descriptors());
+            simulation.run(observed, 100);
+            observed.cancel(new CallerJobId("00000000000000a1"), "no server has the label");
+            submit("a");
+            simulation.run(observed, 500);
+            assertThat(outcomes).endsWith(Kind.COMPLETED);
+        }
+    }
+
     @Nested
     class FailingServers {
         @Test
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -45,6 +45,8 @@
     ToIntFunction<RunKey> cpuMillicores = run -> SimulatedJobs.CPU_MILLICORES;
     /** Factor on the run time that depends on the server, in addition to its slowdown. */
     ToDoubleBiFunction<RunKey, ServerDescriptor> placementFactor = (run, server) -> 1;
+    /** Whether a server executes start commands to its earlier starts, as if the way to it could not tell them apart. */
+    boolean restartsUnnoticed;
     /** Whether the next start command fails with an unchecked exception. */
     boolean failNextStart;
 
@@ -313,6 +315,11 @@
     }
 
     private Reply handleStart(Server server, StartCommand command) {
+        if (!restartsUnnoticed
+                && command.serverStartTimeMillis() != 0
+                && command.serverStartTimeMillis() != server.startTimeMillis) {
+            return new Reply(Status.RESTARTED, 0);
+        }
         if (command.fencingToken() < server.token) {
             return new Reply(Status.FENCED, server.clockMillis());
         }
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/LeasedServer.java
@@ -2,15 +2,18 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -43,6 +46,7 @@
     private final SplittableRandom random;
     private final List<JsonArray> ended = new ArrayList<>();
     private final List<PendingRenewal> pendingRenewals = new ArrayList<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
     private Consumer<String> startObserver = task -> {};
     private HttpServer server;
     private Mode mode = Mode.NORMAL;
@@ -80,11 +84,20 @@
 
     /** Listens on a free port. */
     public Future<HttpServer> start() {
-        server = vertx.createHttpServer().requestHandler(this::handle);
+        server = vertx.createHttpServer().connectionHandler(this::onConnected).requestHandler(this::handle);
         vertx.setPeriodic(TICK_MILLIS, unused -> tick());
         return server.listen(0, "127.0.0.1");
     }
 
+    private synchronized void onConnected(HttpConnection connection) {
+        connections.add(connection);
+        connection.closeHandler(unused -> onClosed(connection));
+    }
+
+    private synchronized void onClosed(HttpConnection connection) {
+        connections.remove(connection);
+    }
+
     /** Returns the port on which the server listens. */
     public int port() {
         return server.actualPort();
@@ -100,14 +113,15 @@
         this.mode = mode;
     }
 
-    /** Simulates a crash and a restart under the same id: ends all tasks and discards all state. */
+    /** Simulates a crash and a restart under the same id: ends all tasks and connections and discards all state. */
     public synchronized void restart() {
         running.values().forEach(run -> ledger.ended(run.task(), "crashed"));
         running.clear();
         highestEndedRun.clear();
         ended.clear();
-        pendingRenewals.forEach(each -> each.request().connection().close());
         pendingRenewals.clear();
+        List.copyOf(connections).forEach(HttpConnection::close);
+        connections.clear();
         endCount = 0;
         highestToken = 0;
         leaseEndMillis = 0;
