--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/standins/StoreStandin.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
@@ -11,9 +12,11 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Stand-in for the platform's store: keyed records in topics of one partition. Can refuse calls or drop history. */
 public final class StoreStandin {
@@ -43,6 +46,8 @@
     private final Map<String, Integer> firstRetained = new HashMap<>();
     private HttpServer server;
     private volatile boolean down;
+    private final Set<HttpConnection> openConnections = new HashSet<>();
+    private final Set<HttpConnection> silentConnections = new HashSet<>();
 
     /**
      * @param vertx provides the event loop
@@ -53,7 +58,7 @@
 
     /** Listens on a free port. */
     public Future<HttpServer> start() {
-        server = vertx.createHttpServer().requestHandler(this::handle);
+        server = vertx.createHttpServer().connectionHandler(this::onConnected).requestHandler(this::handle);
         return server.listen(0, "127.0.0.1");
     }
 
@@ -67,6 +72,27 @@
         return server.actualPort();
     }
 
+    private synchronized void onConnected(HttpConnection connection) {
+        openConnections.add(connection);
+        connection.closeHandler(unused -> onClosed(connection));
+    }
+
+    private synchronized void onClosed(HttpConnection connection) {
+        openConnections.remove(connection);
+        silentConnections.remove(connection);
+    }
+
+    /** Sends nothing more over the connections that are open now, without closing them. Returns their number. */
+    public synchronized int silenceOpenConnections() {
+        silentConnections.addAll(openConnections);
+        return openConnections.size();
+    }
+
+    /** Returns the number of reads of a topic that wait for a record. */
+    public synchronized long waitingReads(String topic) {
+        return pendingReads.stream().filter(each -> each.topic().equals(topic)).count();
+    }
+
     /** Sets whether all calls are refused with status 503. */
     public void setDown(boolean down) {
         this.down = down;
@@ -132,6 +158,9 @@
     }
 
     private synchronized void handle(HttpServerRequest request) {
+        if (silentConnections.contains(request.connection())) {
+            return;
+        }
         if (down) {
             var unused = request.response().setStatusCode(503).end();
             return;
@@ -207,6 +236,9 @@
     }
 
     private void answerRead(PendingRead read) {
+        if (silentConnections.contains(read.request().connection())) {
+            return;
+        }
         Buffer body = Buffer.buffer(HEADER_BYTES).appendLong(size(read.topic())).appendLong(0);
         List<Entry> entries = topics.getOrDefault(read.topic(), List.of());
         for (Entry entry : entries.subList(Math.min(read.from(), entries.size()), entries.size())) {
