--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -1,6 +1,5 @@
 package org.banyanspoke.core.pool.internal;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -80,7 +79,7 @@
     private final MonotonicClock clock;
     private final ServerLease lease;
     private final Listener listener;
-    private final Map<RunKey, Run> runs = new HashMap<>();
+    private final ServerRuns runs = new ServerRuns();
     private final Map<RunKey, Long> orphanRuns = new HashMap<>();
     private final ServerCircuitBreaker circuitBreaker = new ServerCircuitBreaker();
     private final long idleRenewalMillis;
@@ -95,10 +94,6 @@
     private long acknowledged;
     private long highestEndNumber;
     private long startTimeMillis;
-    private int usedCpu;
-    private long runningWork;
-    private int usedMemory;
-    private int usedGpus;
 
     OwnedServer(
             ServerDescriptor descriptor,
@@ -138,26 +133,21 @@
     }
 
     int freeCpu() {
-        return descriptor.cpuMillicores() - usedCpu;
+        return descriptor.cpuMillicores() - runs.cpuMillicores();
     }
 
     int usedCpu() {
-        return usedCpu;
+        return runs.cpuMillicores();
     }
 
     /** Returns the total expected work of all runs from start to end, in millicore-milliseconds. */
     long runningWork() {
-        return runningWork;
+        return runs.expectedWork();
     }
 
     /** Returns the expected free capacity over time. */
     RoomTimeline timeline(long nowMillis) {
-        RoomTimeline timeline = new RoomTimeline(
-                nowMillis, freeCpu(), descriptor.memoryMegabytes() - usedMemory, descriptor.gpus() - usedGpus);
-        for (Run run : runs.values()) {
-            timeline.addRelease(run.expectedEndMillis(nowMillis), run.cpuMillicores, run.memoryMegabytes, run.gpus);
-        }
-        return timeline;
+        return runs.timeline(descriptor, nowMillis);
     }
 
     boolean isUsable() {
@@ -176,11 +166,9 @@
         return descriptor.startTimeMillis() == 0 || descriptor.startTimeMillis() >= startTimeMillis;
     }
 
-    /** Returns whether a task fits into the free capacity. Compares differences, because sums may overflow. */
+    /** Returns whether a task fits into the free capacity. */
     boolean fits(TaskRequirements requirements) {
-        return requirements.cpuMillicores() <= descriptor.cpuMillicores() - usedCpu
-                && requirements.memoryMegabytes() <= descriptor.memoryMegabytes() - usedMemory
-                && requirements.gpus() <= descriptor.gpus() - usedGpus;
+        return runs.leaveRoom(descriptor, requirements);
     }
 
     /** Replaces the descriptor. A later start time means that the server restarted and lost its state. */
@@ -213,11 +201,7 @@
 
     /** Sends a start command. The server must have enough free capacity. */
     void start(Run run, String payload) {
-        runs.put(run.key, run);
-        usedCpu += run.cpuMillicores;
-        runningWork += run.expectedWork();
-        usedMemory += run.memoryMegabytes;
-        usedGpus += run.gpus;
+        runs.add(run);
         lease.recordDeadlineSent();
         long tokenUsed = token;
         commands.start(
@@ -244,8 +228,8 @@
         return runs.get(key);
     }
 
-    Iterable<Run> runs() {
-        return List.copyOf(runs.values());
+    List<Run> runs() {
+        return runs.list();
     }
 
     /** Retries unconfirmed commands and ends the runs whose lease has expired. */
@@ -253,7 +237,7 @@
         if (state == State.FENCED || closed) {
             return;
         }
-        for (Run run : List.copyOf(runs.values())) {
+        for (Run run : runs.list()) {
             if (run.state == Run.State.STOPPING && nowMillis - run.lastCommandMillis >= STOP_RETRY_MILLIS) {
                 sendStop(run);
             }
@@ -374,7 +358,7 @@
             return;
         }
         // The lease is extended only while the server responds, so the runs of a silent server end within one lease.
-        long leaseMillis = lease.maxMillis(runs.values());
+        long leaseMillis = lease.maxMillis(runs.list());
         boolean extend = responding && !runs.isEmpty() && leaseMillis > 0;
         long waitMillis = responding && !runs.isEmpty() && !awaitsStoppedRuns() ? renewWaitMillis(extend) : 0;
         renewing = true;
@@ -399,7 +383,7 @@
     }
 
     private boolean awaitsStoppedRuns() {
-        for (Run run : runs.values()) {
+        for (Run run : runs.list()) {
             if (run.state == Run.State.STOPPED) {
                 return true;
             }
@@ -446,7 +430,7 @@
             onRunning(progress);
         }
         orphanRuns.keySet().retainAll(listed);
-        for (Run run : List.copyOf(runs.values())) {
+        for (Run run : runs.list()) {
             if (!listed.contains(run.key) && run.firstConclusiveRenewal <= renewalNumber) {
                 endRun(run, run.state == Run.State.STOPPED ? EndKind.STOPPED : EndKind.LAPSED);
             }
@@ -509,7 +493,7 @@
     private void onLeaseExpired(String reason) {
         markSilent(reason);
         orphanRuns.clear();
-        for (Run run : List.copyOf(runs.values())) {
+        for (Run run : runs.list()) {
             endRun(run, EndKind.LAPSED);
         }
     }
@@ -532,22 +516,12 @@
     }
 
     private void endRun(Run run, EndKind kind) {
-        runs.remove(run.key);
-        usedCpu -= run.cpuMillicores;
-        runningWork -= run.expectedWork();
-        usedMemory -= run.memoryMegabytes;
-        usedGpus -= run.gpus;
+        runs.remove(run);
         listener.runEnded(this, run, kind);
     }
 
     /** Removes and returns all runs of a server that another process owns; the new owner stops them. */
     List<Run> abandonRuns() {
-        List<Run> abandoned = new ArrayList<>(runs.values());
-        runs.clear();
-        usedCpu = 0;
-        runningWork = 0;
-        usedMemory = 0;
-        usedGpus = 0;
-        return abandoned;
+        return runs.removeAll();
     }
 }
