--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -168,7 +168,7 @@
 
     /** Returns whether a task fits into the free capacity. */
     boolean fits(TaskRequirements requirements) {
-        return runs.leaveRoom(descriptor, requirements);
+        return runs.leaveRoomFor(requirements, descriptor);
     }
 
     /** Replaces the descriptor. A later start time means that the server restarted and lost its state. */
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerRuns.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/ServerRuns.java
@@ -67,7 +67,7 @@
     }
 
     /** Returns whether a task fits beside the runs on a server. Compares differences, because sums may overflow. */
-    boolean leaveRoom(ServerDescriptor server, TaskRequirements requirements) {
+    boolean leaveRoomFor(TaskRequirements requirements, ServerDescriptor server) {
         return requirements.cpuMillicores() <= server.cpuMillicores() - cpuMillicores
                 && requirements.memoryMegabytes() <= server.memoryMegabytes() - memoryMegabytes
                 && requirements.gpus() <= server.gpus() - gpus;
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -372,7 +372,7 @@
             assertThat(jobs.kind(id)).isEqualTo(Kind.COMPLETED);
         }
 
-        /** Guards against leases that end before the reply to the start can be lost and the run be renewed. */
+        /** Guards against a first lease that ends before a short run does. */
         @Test
         void runATaskWhoseStartHasNoReply() {
             addIdleServers(1);
