Create the pools of the tests in one place, and split ServerPoolTest

Seven tests repeated the set-up of a pool on simulated servers; SimulatedPools has it now. The tests of restarted servers move from ServerPoolTest (800 lines) to RestartedServersTest with one fixture.

--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LastAttemptLoadTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LastAttemptLoadTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Random;
 import org.banyanspoke.api.ids.ServerId;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
 import org.banyanspoke.core.pool.SimulatedServers.StartFault;
@@ -23,17 +22,7 @@
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, 1, 150, 250, 1_000),
-                simulation,
-                simulation,
-                CallerContact.ALWAYS,
-                PoolListener.NONE);
+        return SimulatedPools.create(simulation, 1, PoolListener.NONE);
     }
 
     private void addServers(int servers) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/LoadPatternsTest.java
@@ -5,7 +5,6 @@
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.util.Random;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -22,17 +21,7 @@
     private final Random random = new Random(20_261_204);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, 2, 150, 250, 1_000),
-                simulation,
-                simulation,
-                CallerContact.ALWAYS,
-                PoolListener.NONE);
+        return SimulatedPools.create(simulation, 2, PoolListener.NONE);
     }
 
     private void addServers(int fast, int slow) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/NearPlacementLoadTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/NearPlacementLoadTest.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Random;
 import org.banyanspoke.api.ids.ServerId;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.PoolListener.NearWaitEnd;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
@@ -38,17 +37,7 @@
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, FAR_FACTOR, 150, 250, 1_000),
-                simulation,
-                simulation,
-                CallerContact.ALWAYS,
-                new Starts());
+        return SimulatedPools.create(simulation, FAR_FACTOR, new Starts());
     }
 
     private final class Starts implements PoolListener {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/ServerPoolTest.java
@@ -5,13 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.banyanspoke.api.ids.ServerId;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
 import org.banyanspoke.core.pool.SimulatedServers.StartFault;
-import org.banyanspoke.core.time.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -19,7 +16,7 @@
 
 /** Guards against exceeded server capacity, concurrent runs of a task and jobs without an outcome when servers fail. */
 class ServerPoolTest {
-    private static final PoolSettings LIMITS = new PoolSettings(1_000, 2, 150, 250, 1_000);
+    private static final double REMOTE_RACK_FACTOR = 2;
     /** Period in which a dispatcher reads the registry. */
     private static final long REGISTRY_POLL_MILLIS = 400;
 
@@ -28,7 +25,6 @@
     private long contactMillis = Long.MAX_VALUE;
 
     private final CallerContact contact = job -> Math.max(0, simulation.millis() - contactMillis);
-    private final MonotonicClock inputClock = () -> TimeUnit.MILLISECONDS.toNanos(simulation.inputReadUntilMillis());
     private final ServerPool pool = newPool(1);
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
@@ -37,10 +33,7 @@
     }
 
     private ServerPool newPool(long registration, PoolListener listener) {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(registration);
-        tokens.claim(0);
-        return ServerPool.create(simulation, tokens, LIMITS, simulation, inputClock, contact, listener);
+        return SimulatedPools.create(simulation, registration, REMOTE_RACK_FACTOR, contact, listener);
     }
 
     private void addServers(int servers) {
@@ -391,214 +384,6 @@
         }
     }
 
-    /** Review case 3: tasks were started by the labels of the entry before, which the server no longer had. */
-    @Nested
-    class AServerThatRestartsAsAnotherKind {
-        private final QueuePolicy patient = new QueuePolicy("q", "service", 0, 3, 6, 2_000);
-        private final List<String> states = new ArrayList<>();
-        private final List<Kind> outcomes = new ArrayList<>();
-        private final ServerPool observed = newPool(2, new PoolListener() {
-            @Override
-            public void onServerStateChanged(ServerId server, String state, String reason) {
-                states.add(state);
-            }
-
-            @Override
-            public void onRunStarted(RunKey run, ServerId id, long expectedMillis) {
-                lastExpectedMillis = expectedMillis;
-            }
-        });
-        private long lastExpectedMillis;
-        private Server server;
-        private int submitted;
-
-        @BeforeEach
-        void startATask() {
-            server = simulation.add("s0", "a", 16_000);
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 100);
-            simulation.runMillis = run -> 600;
-            submit("a");
-            simulation.run(observed, 100);
-            assertThat(simulation.startCommands()).isEqualTo(1);
-        }
-
-        private void submit(String label) {
-            submitted++;
-            observed.submit(
-                    new PooledJob(
-                            new CallerJobId("00000000000000a" + submitted),
-                            patient,
-                            "work",
-                            1,
-                            new TaskRequirements(1_000, 100, 0, 600, label, "", 0),
-                            0,
-                            8_000),
-                    outcome -> outcomes.add(outcome.kind()));
-        }
-
-        @Test
-        void getsNoTaskUntilItsNewDescriptorIsKnown() {
-            server.restart("b");
-            simulation.run(observed, 1_000);
-            assertThat(simulation.startCommands()).isEqualTo(1);
-            assertThat(states).containsExactly("usable", "claiming", "outdated");
-            submit("");
-            assertThat(outcomes).containsExactly(Kind.REFUSED);
-        }
-
-        @Test
-        void isClaimedAtOnce() {
-            long tokenBefore = server.token;
-            server.restart("b");
-            simulation.run(observed, 300);
-            assertThat(server.token).isGreaterThan(tokenBefore);
-        }
-
-        @Test
-        void getsTheTasksThatItsNewLabelsAllow() {
-            server.restart("b");
-            simulation.run(observed, 400);
-            observed.assign(simulation.descriptors());
-            assertThat(states).endsWith("usable");
-            submit("b");
-            simulation.run(observed, 1_000);
-            assertThat(simulation.startCommands()).isEqualTo(2);
-            assertThat(outcomes).containsExactly(Kind.COMPLETED);
-        }
-
-        @Test
-        void getsNoTaskByTheDescriptorOfAStartInBetween() {
-            server.restart("a");
-            ServerDescriptor inBetween = server.descriptor;
-            simulation.run(observed, 50);
-            server.restart("b");
-            simulation.run(observed, 400);
-            observed.assign(List.of(inBetween));
-            simulation.run(observed, 1_000);
-            assertThat(simulation.startCommands()).isEqualTo(1);
-        }
-
-        @Test
-        void getsNoTaskFromANewDispatcherThatReadsAnOldRegistry() {
-            List<ServerDescriptor> oldEntries = simulation.descriptors();
-            server.restart("b");
-            ServerPool successor = newPool(3);
-            successor.assign(oldEntries);
-            simulation.run(successor, 300);
-            assertThat(successor.load().capacityMillicores()).isZero();
-            successor.assign(simulation.descriptors());
-            assertThat(successor.load().capacityMillicores()).isEqualTo(16_000);
-        }
-
-        @Test
-        void isUsableIfItsDescriptorHasNoStartTime() {
-            server.restart("b", 0);
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 400);
-            submit("b");
-            simulation.run(observed, 1_000);
-            assertThat(outcomes).containsExactly(Kind.COMPLETED);
-        }
-
-        /** The run times of the earlier kind determined whether a task could meet its target. */
-        @Test
-        void isJudgedByTheRunTimesOfItsNewKind() {
-            server.slowdown = 3;
-            simulation.run(observed, 600);
-            submit("a");
-            simulation.run(observed, 2_000);
-            server.restart("b");
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 400);
-            submit("b");
-            assertThat(lastExpectedMillis).isEqualTo(600);
-        }
-    }
-
-    /** Review case 9: such a server was used by the labels of its earlier start until the registry was read again. */
-    @Nested
-    class AnIdleServerThatRestarts {
-        private final List<Kind> outcomes = new ArrayList<>();
-        private final List<ServerId> startedOn = new ArrayList<>();
-        private final ServerPool observed = newPool(2, new PoolListener() {
-            @Override
-            public void onRunStarted(RunKey run, ServerId id, long expectedMillis) {
-                startedOn.add(id);
-            }
-        });
-        private Server server;
-
-        @BeforeEach
-        void addIdleServer() {
-            server = simulation.add("s0", "b", 16_000);
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 100);
-        }
-
-        private void submit(String label) {
-            observed.submit(
-                    new PooledJob(
-                            new CallerJobId("00000000000000a1"),
-                            new QueuePolicy("q", "service", 0, 3, 6, 2_000),
-                            "work",
-                            1,
-                            new TaskRequirements(1_000, 100, 0, 100, label, "", 0),
-                            0,
-                            8_000),
-                    outcome -> outcomes.add(outcome.kind()));
-        }
-
-        /** Guards against a task on a server without the label that it requires. */
-        @Test
-        void startsNothingByTheLabelsOfItsEarlierStart() {
-            server.restart("a");
-            submit("b");
-            simulation.run(observed, REGISTRY_POLL_MILLIS);
-            assertThat(simulation.starts()).isZero();
-            assertThat(server.running).isEmpty();
-        }
-
-        /** Guards against a restart that is found only by the next read of the registry. */
-        @Test
-        void isClaimedAsSoonAsAStartFindsTheRestart() {
-            long tokenBefore = server.token;
-            server.restart("a");
-            submit("b");
-            simulation.run(observed, 60);
-            assertThat(server.token).isGreaterThan(tokenBefore);
-        }
-
-        /** Guards against a task that is lost because its start was refused. */
-        @Test
-        void leavesTheTaskToAnotherServer() {
-            // More free room makes it the second choice.
-            Server other = simulation.add("s1", "b", 17_000);
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 100);
-            server.restart("a");
-            submit("b");
-            simulation.run(observed, REGISTRY_POLL_MILLIS);
-            assertThat(outcomes).containsExactly(Kind.COMPLETED);
-            assertThat(startedOn).containsExactly(server.descriptor.id(), other.descriptor.id());
-            assertThat(simulation.starts()).isEqualTo(1);
-        }
-
-        /** Guards against starts that are refused for ever after a restart. */
-        @Test
-        void runsTasksOfItsNewLabelsOnceItsDescriptorIsKnown() {
-            server.restart("a");
-            submit("b");
-            simulation.run(observed, REGISTRY_POLL_MILLIS);
-            observed.assign(simulation.descriptors());
-            simulation.run(observed, 100);
-            observed.cancel(new CallerJobId("00000000000000a1"), "no server has the label");
-            submit("a");
-            simulation.run(observed, 500);
-            assertThat(outcomes).endsWith(Kind.COMPLETED);
-        }
-    }
-
     @Nested
     class FailingServers {
         @Test
@@ -665,16 +450,12 @@
             jobs.submit(SimulatedJobs.LONG, 2, 900);
             simulation.run(pool, 100);
             List<String> states = new ArrayList<>();
-            FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-            tokens.register(2);
-            tokens.claim(0);
-            ServerPool successor =
-                    ServerPool.create(simulation, tokens, LIMITS, simulation, simulation, contact, new PoolListener() {
-                        @Override
-                        public void onServerStateChanged(ServerId server, String state, String reason) {
-                            states.add(state);
-                        }
-                    });
+            ServerPool successor = newPool(2, new PoolListener() {
+                @Override
+                public void onServerStateChanged(ServerId server, String state, String reason) {
+                    states.add(state);
+                }
+            });
             successor.assign(simulation.descriptors());
             simulation.run(successor, 300);
             assertThat(states).containsExactly("usable");
@@ -747,7 +528,7 @@
             simulation.run(pool, 100);
             contactMillis = simulation.millis();
             simulation.run(pool, 600);
-            simulation.suspend(pool, LIMITS.contactValidityMillis() - 600);
+            simulation.suspend(pool, SimulatedPools.CONTACT_VALIDITY_MILLIS - 600);
             assertThat(simulation.servers.values()).allMatch(server -> server.running.isEmpty());
         }
     }
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/StalledRunsLoadTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/StalledRunsLoadTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.banyanspoke.api.ids.ServerId;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.Server;
 import org.banyanspoke.core.pool.SimulatedServers.StartFault;
@@ -22,22 +21,12 @@
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, 1, 150, 250, 1_000),
-                simulation,
-                simulation,
-                CallerContact.ALWAYS,
-                new PoolListener() {
-                    @Override
-                    public void onServerStateChanged(ServerId server, String state, String reason) {
-                        pauses += state.equals("paused") ? 1 : 0;
-                    }
-                });
+        return SimulatedPools.create(simulation, 1, new PoolListener() {
+            @Override
+            public void onServerStateChanged(ServerId server, String state, String reason) {
+                pauses += state.equals("paused") ? 1 : 0;
+            }
+        });
     }
 
     private void addServers(int servers) {
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/StartPermissionTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/StartPermissionTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.concurrent.TimeUnit;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.banyanspoke.core.pool.SimulatedServers.StartFault;
 import org.junit.jupiter.api.AfterEach;
@@ -22,17 +20,7 @@
     private final SimulatedJobs jobs = new SimulatedJobs(simulation, pool);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, 2, 150, 250, 1_000),
-                simulation,
-                () -> TimeUnit.MILLISECONDS.toNanos(simulation.inputReadUntilMillis()),
-                job -> 0,
-                PoolListener.NONE);
+        return SimulatedPools.create(simulation, 2, PoolListener.NONE);
     }
 
     @BeforeEach
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/TaskSizeLoadTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/TaskSizeLoadTest.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
-import org.banyanspoke.core.ownership.FencingTokens;
 import org.banyanspoke.core.pool.JobOutcome.Kind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,17 +19,7 @@
     private final Random random = new Random(20_261_206);
 
     private ServerPool newPool() {
-        FencingTokens tokens = new FencingTokens(() -> 1_800_000_000_000L + simulation.millis());
-        tokens.register(1);
-        tokens.claim(0);
-        return ServerPool.create(
-                simulation,
-                tokens,
-                new PoolSettings(1_000, 2, 150, 250, 1_000),
-                simulation,
-                simulation,
-                CallerContact.ALWAYS,
-                PoolListener.NONE);
+        return SimulatedPools.create(simulation, 2, PoolListener.NONE);
     }
 
     @BeforeEach
