--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolListener.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/PoolListener.java
@@ -26,7 +26,7 @@
     /** Called when the start of a run is about to be sent to a server. */
     default void onRunStarted(RunKey run, ServerId server, long expectedMillis) {}
 
-    /** Called when a server, or the way to it, has refused a start command, which has not been executed. */
+    /** Called when a server has refused a start command, or the command could not be delivered; nothing has started. */
     default void onStartRefused(RunKey run, ServerId server, ServerCommands.Status status) {}
 
     /** Called when a run has ended or can no longer be on its server. */
