Keep errors of pool listeners away from the pool

A listener that threw, such as a metric, interrupted the pool between two steps of a change of its state: after a refused start the run stayed reserved until the job ended. CompositePoolListener runs each listener under the error guard, as CompositeTopicListener does.

--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/CompositePoolListener.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/CompositePoolListener.java
@@ -1,6 +1,7 @@
 package org.banyanspoke.host;
 
 import java.util.List;
+import java.util.function.Consumer;
 import org.banyanspoke.api.ids.ServerId;
 import org.banyanspoke.core.pool.CallerJobId;
 import org.banyanspoke.core.pool.JobOutcome;
@@ -11,8 +12,14 @@
 import org.banyanspoke.core.pool.ServerCommands.EndKind;
 import org.banyanspoke.core.pool.ServerCommands.Status;
 
-/** Forwards each event to all listeners, in list order. */
-record CompositePoolListener(List<PoolListener> listeners) implements PoolListener {
+/**
+ * Forwards each event to all listeners. An unexpected error of one neither keeps the event from others nor reaches the
+ * pool, which calls listeners between two steps of a change of its state.
+ *
+ * @param listeners the listeners, in the order in which they are called
+ * @param guard catches unexpected errors of the listeners
+ */
+record CompositePoolListener(List<PoolListener> listeners, ErrorGuard guard) implements PoolListener {
     @Override
     public void onJobEnded(
             PooledJob job,
@@ -21,36 +28,42 @@
             long expectedWaitMillis,
             long waitedMillis,
             long totalMillis) {
-        listeners.forEach(each -> each.onJobEnded(job, outcome, load, expectedWaitMillis, waitedMillis, totalMillis));
+        forEach(each -> each.onJobEnded(job, outcome, load, expectedWaitMillis, waitedMillis, totalMillis));
     }
 
     @Override
     public void onRunStarted(RunKey run, ServerId server, long expectedMillis) {
-        listeners.forEach(each -> each.onRunStarted(run, server, expectedMillis));
+        forEach(each -> each.onRunStarted(run, server, expectedMillis));
     }
 
     @Override
     public void onStartRefused(RunKey run, ServerId server, Status status) {
-        listeners.forEach(each -> each.onStartRefused(run, server, status));
+        forEach(each -> each.onStartRefused(run, server, status));
     }
 
     @Override
     public void onRunEnded(RunKey run, ServerId server, EndKind kind, long runMillis) {
-        listeners.forEach(each -> each.onRunEnded(run, server, kind, runMillis));
+        forEach(each -> each.onRunEnded(run, server, kind, runMillis));
     }
 
     @Override
     public void onNearWaitBegun(CallerJobId job, int tasks, long untilMillis) {
-        listeners.forEach(each -> each.onNearWaitBegun(job, tasks, untilMillis));
+        forEach(each -> each.onNearWaitBegun(job, tasks, untilMillis));
     }
 
     @Override
     public void onNearWaitEnded(CallerJobId job, NearWaitEnd end, long waitedMillis) {
-        listeners.forEach(each -> each.onNearWaitEnded(job, end, waitedMillis));
+        forEach(each -> each.onNearWaitEnded(job, end, waitedMillis));
     }
 
     @Override
     public void onServerStateChanged(ServerId server, String state, String reason) {
-        listeners.forEach(each -> each.onServerStateChanged(server, state, reason));
+        forEach(each -> each.onServerStateChanged(server, state, reason));
+    }
+
+    private void forEach(Consumer<PoolListener> call) {
+        for (PoolListener each : listeners) {
+            guard.run("event for " + each.getClass().getSimpleName(), () -> call.accept(each));
+        }
     }
 }
--- a/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
+++ b/banyanspoke-host/src/main/java/org/banyanspoke/host/HostProcess.java
@@ -136,7 +136,7 @@
                 clock,
                 input::readUntilNanos,
                 contacts,
-                new CompositePoolListener(List.of(new PoolEventLog(requestLog), metrics)));
+                new CompositePoolListener(List.of(new PoolEventLog(requestLog), metrics), guard));
         long lastStartMillis = settings.evacuateMillis() - settings.pool().maxRunLeaseMillis();
         ZoneEvacuation evacuation = new ZoneEvacuation(
                 Math.min(EVACUATION_GRACE_MILLIS, lastStartMillis / EVACUATION_GRACE_DIVISOR),
--- a/banyanspoke-host/src/test/java/org/banyanspoke/host/HostMetricsTest.java
+++ b/banyanspoke-host/src/test/java/org/banyanspoke/host/HostMetricsTest.java
@@ -19,6 +19,7 @@
 
 /** Guards against refusals and latencies that are missing from the metrics. */
 class HostMetricsTest {
+    private static final ErrorGuard GUARD = new ErrorGuard(System::nanoTime);
     private static final PooledJob JOB = new PooledJob(
             new CallerJobId("00000000000000aa"),
             new QueuePolicy("q", "s", 2, 3, 1.6, 60),
@@ -45,7 +46,7 @@
     @Test
     void exportsRefusedStarts() {
         HostMetrics metrics = new HostMetrics();
-        PoolListener listener = new CompositePoolListener(List.of(metrics));
+        PoolListener listener = new CompositePoolListener(List.of(metrics), GUARD);
         RunKey run = new RunKey(new TaskKey(JOB.id(), 0), 1);
         listener.onStartRefused(run, new ServerId("s1"), Status.TOO_LATE);
         assertThat(metrics.text()).contains("pool_starts_refused_TOO_LATE 1.0");
@@ -55,7 +56,7 @@
     @Test
     void exportsWaitsForNearServers() {
         HostMetrics metrics = new HostMetrics();
-        PoolListener listener = new CompositePoolListener(List.of(metrics));
+        PoolListener listener = new CompositePoolListener(List.of(metrics), GUARD);
         listener.onNearWaitBegun(JOB.id(), 2, 1_000);
         listener.onNearWaitEnded(JOB.id(), NearWaitEnd.NEAR, 30);
         listener.onNearWaitEnded(JOB.id(), NearWaitEnd.FAR, 40);
