OwnedServer: ignore a restart that is known already; schedule of renewals apart

A start that found a restart, while the server had been claimed again in the meantime, made the server unusable for one renewal. OwnedServerTest shows it; it fails without the comparison of tokens, as does the test that the clock of an earlier process is ignored, which had no test of its own.

--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -25,7 +25,7 @@
 final class OwnedServer {
     /** Receives events of a server. */
     interface Listener {
-        /** Called when a start command has been refused, before the run ends. */
+        /** Called when a start command has been refused and its run has ended. */
         void startRefused(OwnedServer server, Run run, Status status);
 
         /** Called when a run has ended and its capacity is free. */
@@ -56,23 +56,12 @@
         FENCED
     }
 
-    /** Retry period for an unresponsive server without runs; longer, as each attempt costs work on both sides. */
-    private static final long SILENT_IDLE_RETRY_MILLIS = 1_000;
-    /** Retry period for an unresponsive server that may have runs. */
-    private static final long SILENT_BUSY_RETRY_MILLIS = 100;
     /** Timeout for the reply to a renewal, in addition to the wait granted to the server. */
     private static final long RENEW_TIMEOUT_MILLIS = 300;
     /** Wait granted to a renewal without extension; the lease is extended once there is contact with all callers. */
     private static final long NO_CONTACT_WAIT_MILLIS = 50;
     /** Retry period for an unconfirmed stop. */
     private static final long STOP_RETRY_MILLIS = 150;
-    /**
-     * Longest time between two renewals of an idle server, which bound the age of its clock reading: the first lease is
-     * shorter by 2% of that age.
-     */
-    private static final long MAX_IDLE_RENEWAL_MILLIS = 10_000;
-    /** Range of the renewal periods of idle servers, so that they are not all asked at the same time. */
-    private static final int IDLE_RENEWAL_SPREAD_MILLIS = 4_000;
 
     private final ServerCommands commands;
     private final PoolSettings settings;
@@ -82,15 +71,11 @@
     private final ServerRuns runs = new ServerRuns();
     private final Map<RunKey, Long> orphanRuns = new HashMap<>();
     private final ServerCircuitBreaker circuitBreaker = new ServerCircuitBreaker();
-    private final long idleRenewalMillis;
+    private final RenewalSchedule renewals;
     private ServerDescriptor descriptor;
     private long token;
     private State state = State.CLAIMING;
-    private boolean renewing;
     private boolean closed;
-    private long renewalCount;
-    private long nextRenewalMillis;
-    private long lastRenewalMillis;
     private long acknowledged;
     private long highestEndNumber;
     private long startTimeMillis;
@@ -108,8 +93,7 @@
         this.clock = clock;
         this.lease = lease;
         this.listener = listener;
-        this.idleRenewalMillis =
-                MAX_IDLE_RENEWAL_MILLIS - Math.floorMod(descriptor.id().hashCode(), IDLE_RENEWAL_SPREAD_MILLIS);
+        this.renewals = new RenewalSchedule(descriptor.id());
     }
 
     ServerDescriptor descriptor() {
@@ -190,8 +174,7 @@
         circuitBreaker.recordClaim();
         // The previous owner may have extended the lease until now.
         lease.recordDeadlineSent();
-        nextRenewalMillis = clock.millis();
-        renewIfDue(clock.millis());
+        scheduleRenewal();
     }
 
     /** Stops sending commands; replies that are still outstanding are ignored. */
@@ -279,7 +262,7 @@
             case OK -> {
                 if (run.state == Run.State.STARTING) {
                     run.state = Run.State.RUNNING;
-                    run.firstConclusiveRenewal = renewalCount + 1;
+                    run.firstConclusiveRenewal = renewals.nextNumber();
                 }
                 scheduleRenewal();
             }
@@ -293,20 +276,23 @@
             case UNKNOWN -> stop(run);
             default -> {
                 // The start was refused and cannot take effect later, so a stop in flight has nothing to stop.
-                listener.startRefused(this, run, reply.status());
-                onRefusedStart(reply.status());
+                onRefusedStart(tokenUsed, reply.status());
                 endRun(run, EndKind.STOPPED);
+                listener.startRefused(this, run, reply.status());
             }
         }
     }
 
-    private void onRefusedStart(Status status) {
+    private void onRefusedStart(long tokenUsed, Status status) {
         switch (status) {
             case NOT_SENT -> markSilent("not connected");
             case RESTARTED -> {
-                markSilent("restarted");
-                // The reply tells the new start time.
-                renewIfDue(clock.millis());
+                // With a newer token the restart is already known.
+                if (tokenUsed == token) {
+                    markSilent("restarted");
+                    // The reply to a renewal has the new start time.
+                    renewIfDue(clock.millis());
+                }
             }
             case UNHEALTHY, REJECTED, NO_ROOM -> {
                 if (circuitBreaker.recordFailure(clock.millis())) {
@@ -326,7 +312,7 @@
         recordServerClock(tokenUsed, reply);
         if (reply.status() == Status.OK) {
             run.state = Run.State.STOPPED;
-            run.firstConclusiveRenewal = renewalCount + 1;
+            run.firstConclusiveRenewal = renewals.nextNumber();
             scheduleRenewal();
         } else if (reply.status() == Status.FENCED) {
             markFenced();
@@ -341,30 +327,35 @@
     }
 
     private void scheduleRenewal() {
-        nextRenewalMillis = clock.millis();
-        renewIfDue(nextRenewalMillis);
+        renewals.scheduleAt(clock.millis());
+        renewIfDue(clock.millis());
     }
 
     private void renewIfDue(long nowMillis) {
-        if (renewing || closed || state == State.FENCED || nowMillis < nextRenewalMillis) {
+        if (closed || state == State.FENCED || !renewals.isDue(nowMillis)) {
             return;
         }
-        boolean responding = state == State.USABLE;
-        long idleRenewalAtMillis = lastRenewalMillis + idleRenewalMillis;
-        boolean renewalNeeded =
-                !responding || !isIdle() || acknowledged < highestEndNumber || nowMillis >= idleRenewalAtMillis;
-        if (!renewalNeeded) {
-            nextRenewalMillis = idleRenewalAtMillis;
-            return;
+        if (isRenewalNeeded(nowMillis)) {
+            renew(nowMillis);
+        } else {
+            renewals.scheduleForIdleServer();
         }
+    }
+
+    private boolean isRenewalNeeded(long nowMillis) {
+        return state != State.USABLE
+                || !isIdle()
+                || acknowledged < highestEndNumber
+                || renewals.isDueForIdleServer(nowMillis);
+    }
+
+    private void renew(long nowMillis) {
+        boolean responding = state == State.USABLE;
         // The lease is extended only while the server responds, so the runs of a silent server end within one lease.
         long leaseMillis = lease.maxMillis(runs.list());
         boolean extend = responding && !runs.isEmpty() && leaseMillis > 0;
         long waitMillis = responding && !runs.isEmpty() && !awaitsStoppedRuns() ? renewWaitMillis(extend) : 0;
-        renewing = true;
-        lastRenewalMillis = nowMillis;
-        renewalCount++;
-        long renewalNumber = renewalCount;
+        long renewalNumber = renewals.begin(nowMillis);
         long deadlineMillis = extend ? lease.deadlineMillis(leaseMillis) : 0;
         if (extend) {
             lease.recordDeadlineSent();
@@ -392,13 +383,12 @@
     }
 
     private void onRenewReply(long renewalNumber, long tokenUsed, RenewReply reply) {
-        renewing = false;
+        renewals.end();
         if (closed) {
             return;
         }
         if (tokenUsed != token) {
-            nextRenewalMillis = clock.millis();
-            renewIfDue(nextRenewalMillis);
+            scheduleRenewal();
             return;
         }
         switch (reply.status()) {
@@ -406,7 +396,7 @@
             case FENCED -> markFenced();
             default -> {
                 markSilent(reply.status().name());
-                nextRenewalMillis = clock.millis() + (isIdle() ? SILENT_IDLE_RETRY_MILLIS : SILENT_BUSY_RETRY_MILLIS);
+                renewals.scheduleRetry(clock.millis(), isIdle());
             }
         }
     }
@@ -441,11 +431,11 @@
         } else if (previousState != State.USABLE) {
             listener.stateChanged(this, "usable", previousState == State.CLAIMING ? "claimed" : "responding again");
         }
-        nextRenewalMillis = clock.millis();
+        renewals.scheduleAt(clock.millis());
         if (isUsable()) {
             listener.capacityFreed(this);
         }
-        renewIfDue(nextRenewalMillis);
+        renewIfDue(clock.millis());
     }
 
     private void onEnd(RunEnd end) {
@@ -510,7 +500,7 @@
     private void markSilent(String reason) {
         if (state == State.USABLE) {
             state = State.SILENT;
-            nextRenewalMillis = clock.millis();
+            renewals.scheduleAt(clock.millis());
             listener.stateChanged(this, "silent", reason);
         }
     }
