--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerCommands.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/ServerCommands.java
@@ -24,7 +24,7 @@
         UNHEALTHY,
         /** A different server uses this address, or the command is invalid; not executed. */
         REJECTED,
-        /** The server has another start time than the one that the command names; not executed. */
+        /** The server's process has another start time than the one that the command names; not executed. */
         RESTARTED,
         /** No connection to the server; not executed. */
         NOT_SENT,
@@ -52,9 +52,9 @@
      * @param deadlineMillis end of the lease on the server's clock; the server starts no run after it and kills the
      *     runs that are left then
      * @param fencingToken fencing token of the owner
-     * @param serverStartTimeMillis Unix time at which the server started, in milliseconds; no other start of the server
-     *     executes the command, also if the server restarts while the command is on its way. 0 if it is not known, and
-     *     any start may execute the command
+     * @param serverStartTimeMillis Unix time at which the server's process started, in milliseconds; no other process
+     *     of the server executes the command, also if the server restarts while the command is on its way. 0 if it is
+     *     not known, and any process may execute the command
      * @param timeoutMillis timeout for the reply
      */
     record StartCommand(
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/SimulatedServers.java
@@ -45,7 +45,7 @@
     ToIntFunction<RunKey> cpuMillicores = run -> SimulatedJobs.CPU_MILLICORES;
     /** Factor on the run time that depends on the server, in addition to its slowdown. */
     ToDoubleBiFunction<RunKey, ServerDescriptor> placementFactor = (run, server) -> 1;
-    /** Whether a server executes start commands to its earlier starts, as if the way to it could not tell them apart. */
+    /** Whether servers also execute start commands that name an earlier start time. */
     boolean restartsUnnoticed;
     /** Whether the next start command fails with an unchecked exception. */
     boolean failNextStart;
