--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/DefaultServerPool.java
@@ -50,7 +50,7 @@
     private final RunTimeModel runTimes = new RunTimeModel();
     private final NearPlacement nearPlacement;
     private final ServerSelector selector;
-    private final OwnedServer.Listener serverListener = new ServerListener();
+    private final OwnedServerListener serverListener = new ServerListener();
     private StartPermission startPermission = StartPermission.ALL_JOBS;
     private String restrictionReason = "";
     private boolean dispatching;
@@ -401,7 +401,7 @@
         return owned == null || owned.isIdle();
     }
 
-    private final class ServerListener implements OwnedServer.Listener {
+    private final class ServerListener implements OwnedServerListener {
         @Override
         public void startRefused(OwnedServer server, Run run, Status status) {
             listener.onStartRefused(run.key, server.descriptor().id(), status);
--- a/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
+++ b/banyanspoke-core/src/main/java/org/banyanspoke/core/pool/internal/OwnedServer.java
@@ -23,27 +23,6 @@
  * or once the lease of all runs that may be there has certainly expired.
  */
 final class OwnedServer {
-    /** Receives events of a server. */
-    interface Listener {
-        /** Called when a start command has been refused and its run has ended. */
-        void startRefused(OwnedServer server, Run run, Status status);
-
-        /** Called when a run has ended and its capacity is free. */
-        void runEnded(OwnedServer server, Run run, EndKind kind);
-
-        /** Called when the server accepts tasks again or may have freed capacity. */
-        void capacityFreed(OwnedServer server);
-
-        /** Called when the server holds a higher fencing token than the one of this process. */
-        void fenced(OwnedServer server);
-
-        /** Called when the server has restarted under its id and must be claimed again with a higher token. */
-        void restarted(OwnedServer server);
-
-        /** Called when the state of the server has changed. */
-        void stateChanged(OwnedServer server, String state, String reason);
-    }
-
     /** State of a server as known to this process. */
     enum State {
         /** The token has been sent; the runs on the server are not known yet. */
@@ -67,7 +46,7 @@
     private final PoolSettings settings;
     private final MonotonicClock clock;
     private final ServerLease lease;
-    private final Listener listener;
+    private final OwnedServerListener listener;
     private final ServerRuns runs = new ServerRuns();
     private final Map<RunKey, Long> orphanRuns = new HashMap<>();
     private final ServerCircuitBreaker circuitBreaker = new ServerCircuitBreaker();
@@ -86,7 +65,7 @@
             PoolSettings settings,
             MonotonicClock clock,
             ServerLease lease,
-            Listener listener) {
+            OwnedServerListener listener) {
         this.descriptor = descriptor;
         this.commands = commands;
         this.settings = settings;
--- a/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/internal/OwnedServerTest.java
+++ b/banyanspoke-core/src/test/java/org/banyanspoke/core/pool/internal/OwnedServerTest.java
@@ -70,7 +70,7 @@
     }
 
     /** Claims a restarted server with the next token. */
-    private static final class ClaimingListener implements OwnedServer.Listener {
+    private static final class ClaimingListener implements OwnedServerListener {
         private long token = 1;
 
         @Override
