--- a/review/standins-3/review3/Store.java
+++ b/review/standins-3/review3/Store.java
@@ -38,8 +38,13 @@
 
     /** Appends a keyed record, as the operator or a minion does. */
     void put(String topic, String key, Object value) {
+        putText(topic, key, value == null ? "" : Json.write(value));
+    }
+
+    /** Appends a keyed record whose value is a text. */
+    void putText(String topic, String key, String value) {
         byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
-        byte[] valueBytes = value == null ? new byte[0] : Json.write(value).getBytes(StandardCharsets.UTF_8);
+        byte[] valueBytes = value.getBytes(StandardCharsets.UTF_8);
         byte[] content = new byte[1 + keyBytes.length + valueBytes.length];
         content[0] = (byte) keyBytes.length;
         System.arraycopy(keyBytes, 0, content, 1, keyBytes.length);
