--- a/review/standins-3/review3/Store.java
+++ b/review/standins-3/review3/Store.java
@@ -20,6 +20,8 @@
 final class Store {
     private final HttpServer server;
     private final Map<String, List<byte[]>> topics = new HashMap<>();
+    /** Offset of the newest record of each key, by topic; the oldest of them first. */
+    private final Map<String, Map<String, Integer>> newest = new HashMap<>();
 
     Store() throws IOException {
         server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
@@ -55,10 +57,22 @@
     private synchronized long append(String topic, byte[] content) {
         List<byte[]> log = topics.computeIfAbsent(topic, key -> new ArrayList<>());
         log.add(content);
+        if (topic.startsWith("keyed.")) {
+            recordNewest(topic, content, log.size() - 1);
+        }
         notifyAll();
         return log.size() - 1;
     }
 
+    private void recordNewest(String topic, byte[] content, int offset) {
+        Map<String, Integer> offsets = newest.computeIfAbsent(topic, key -> new LinkedHashMap<>());
+        String key = new String(content, 1, content[0] & 0xff, StandardCharsets.UTF_8);
+        offsets.remove(key);
+        if (content.length > 1 + (content[0] & 0xff)) {
+            offsets.put(key, offset);
+        }
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
             Map<String, String> query = new HashMap<>();
@@ -119,27 +133,21 @@
     }
 
     private void onNewest(HttpExchange exchange, Map<String, String> query) throws IOException {
-        Map<String, Map<String, Object>> newest = new LinkedHashMap<>();
+        List<Object> items = new ArrayList<>();
         long end;
         synchronized (this) {
             List<byte[]> log = topics.computeIfAbsent(query.get("topic"), key -> new ArrayList<>());
             end = log.size();
-            for (int i = 0; i < log.size(); i++) {
-                byte[] content = log.get(i);
-                int keyLength = content[0] & 0xff;
-                String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
-                byte[] value = Arrays.copyOfRange(content, 1 + keyLength, content.length);
-                newest.remove(key);
-                if (value.length > 0) {
-                    newest.put(
-                            key, Map.of("key", key, "value", Base64.getEncoder().encodeToString(value), "offset", i));
-                }
-            }
+            newest.getOrDefault(query.get("topic"), Map.of()).forEach((key, offset) -> {
+                byte[] content = log.get(offset);
+                byte[] value = Arrays.copyOfRange(content, 1 + (content[0] & 0xff), content.length);
+                items.add(Map.of("key", key, "value", Base64.getEncoder().encodeToString(value), "offset", offset));
+            });
         }
         answer(
                 exchange,
                 200,
-                Json.write(Map.of("items", List.copyOf(newest.values()), "has_more", false, "end", end))
+                Json.write(Map.of("items", items, "has_more", false, "end", end))
                         .getBytes(StandardCharsets.UTF_8));
     }
 
